--- /dev/null
+++ b/src/base/lock.h
@@ -0,0 +1,85 @@
+/// Ranked POSIX locks and conditions. docs/DESIGN.md lists the ranks.
+///
+/// Use: `LockGuard lock(m_mutex);` A thread takes locks only in rising rank; another order is an assertion.
+/// Pitfall: never call a hook, send or log while you hold a lock of rank Leaf or above.
+#pragma once
+
+#include "base/time.h"
+
+#include <pthread.h>
+
+namespace damask {
+
+class Clock;
+
+/// The stated lock order: a thread may take a lock only if its rank is above all that it holds.
+enum class LockRank : int {
+    Program = 10,       // start and stop of a program
+    Server = 20,        // tables of connections (front, operate)
+    Control = 30,       // tickets, membership, spreading
+    Configuration = 40, // the configuration in force
+    Route = 50,         // load tables, queues, budgets
+    Pool = 60,          // connections to targets
+    Wire = 70,          // peers of the inner protocol
+    Store = 80,         // the store client
+    WorkQueue = 90,     // the queue of a worker pool
+    ClockWaiters = 95,  // waiters registered with the runtime clock
+    Leaf = 100,         // rings, counters: nothing is taken under it
+};
+
+/// A mutex with a rank. Not recursive.
+class RankedMutex
+{
+public:
+    explicit RankedMutex(LockRank rank);
+    ~RankedMutex();
+    RankedMutex(const RankedMutex &) = delete;
+    RankedMutex &operator=(const RankedMutex &) = delete;
+
+    void lock();   // asserts the rank order, then waits
+    void unlock(); // only by the thread that holds it
+
+private:
+    friend class Condition;
+    pthread_mutex_t m_mutex;
+    LockRank        m_rank;
+};
+
+/// Holds a RankedMutex for its scope.
+class LockGuard
+{
+public:
+    explicit LockGuard(RankedMutex &mutex);
+    ~LockGuard();
+    LockGuard(const LockGuard &) = delete;
+    LockGuard &operator=(const LockGuard &) = delete;
+
+    RankedMutex &mutex() const
+    {
+        return m_mutex;
+    }
+
+private:
+    RankedMutex &m_mutex;
+};
+
+/// A condition variable that waits on the runtime clock, so that tests decide when a wait times out.
+class Condition
+{
+public:
+    explicit Condition(Clock &clock);
+    ~Condition();
+    Condition(const Condition &) = delete;
+    Condition &operator=(const Condition &) = delete;
+
+    void wait(LockGuard &lock);                          // until notified; may wake early: check in a loop
+    bool waitUntil(LockGuard &lock, TimePoint deadline); // false when the deadline has passed; may wake early
+    void notifyOne();
+    void notifyAll();
+
+private:
+    Clock         &m_clock;
+    pthread_cond_t m_condition;
+};
+
+} // namespace damask
--- /dev/null
+++ b/src/base/result.cpp
@@ -0,0 +1,89 @@
+#include "base/result.h"
+
+#include <algorithm>
+#include <array>
+
+namespace damask {
+
+namespace {
+
+constexpr auto Codes = std::to_array<CodeInfo>({
+    CodeInfo{Code::Ok, "Ok", "The operation succeeded."},
+    CodeInfo{Code::NoSuchService, "NoSuchService", "No service of the configuration answers for this host and path."},
+    CodeInfo{Code::NoRule, "NoRule", "A rule forbids this request to go anywhere."},
+    CodeInfo{Code::NoTarget, "NoTarget", "The service has no target that may take new work."},
+    CodeInfo{Code::QueueFull, "QueueFull", "The queue for a target slot is full."},
+    CodeInfo{Code::QueueTimeout, "QueueTimeout", "No target slot became free in time."},
+    CodeInfo{Code::DeadlineTooShort, "DeadlineTooShort", "The time left is less than the call is expected to take."},
+    CodeInfo{Code::DepthExceeded, "DepthExceeded", "The call came through more calls than the configuration allows."},
+    CodeInfo{Code::EntryLeaving, "EntryLeaving", "The entry instance is shutting down gracefully."},
+    CodeInfo{Code::NoConfiguration, "NoConfiguration", "The entry has no accepted configuration yet."},
+    CodeInfo{Code::FairShareExceeded, "FairShareExceeded",
+             "The caller or the service is above its share while others wait."},
+    CodeInfo{Code::ConnectFailed, "ConnectFailed", "No connection to the target could be opened."},
+    CodeInfo{Code::TargetRefused, "TargetRefused",
+             "The target said by its documented signal that it did not run the request."},
+    CodeInfo{Code::TargetShares, "TargetShares", "All connections that this entry may hold to the target are in use."},
+    CodeInfo{Code::EntryBusy, "EntryBusy", "All workers of the entry that may serve this depth are in use."},
+    CodeInfo{Code::AnswerTimeout, "AnswerTimeout", "The target did not answer before the deadline."},
+    CodeInfo{Code::ConnectionLost, "ConnectionLost", "The connection broke after bytes of the request had left."},
+    CodeInfo{Code::BadAnswer, "BadAnswer", "The target sent an answer that is malformed or cut short."},
+    CodeInfo{Code::AnswerTooLarge, "AnswerTooLarge", "The answer of the target is larger than the limit."},
+    CodeInfo{Code::Cancelled, "Cancelled", "The caller closed its connection before the answer."},
+    CodeInfo{Code::BadRequest, "BadRequest", "The request is not valid HTTP or carries contradicting lengths."},
+    CodeInfo{Code::HeaderTooLarge, "HeaderTooLarge", "The header of the request is larger than the limit."},
+    CodeInfo{Code::BodyTooLarge, "BodyTooLarge", "The body of the request is larger than the limit."},
+    CodeInfo{Code::SlowSender, "SlowSender", "The request was not sent completely in time."},
+    CodeInfo{Code::TooManyConnections, "TooManyConnections", "The entry holds as many connections as it may."},
+    CodeInfo{Code::BadDeadline, "BadDeadline", "The deadline header is not a whole number of milliseconds in range."},
+    CodeInfo{Code::BadDepth, "BadDepth", "The depth header is not a whole number in range."},
+    CodeInfo{Code::BadTicket, "BadTicket", "The ticket does not say a complete and valid state."},
+    CodeInfo{Code::StaleTicket, "StaleTicket", "The ticket was built on a version that is no longer current."},
+    CodeInfo{Code::TicketNumberTaken, "TicketNumberTaken", "Another ticket with other content has this number."},
+    CodeInfo{Code::TicketLosesCapacity, "TicketLosesCapacity",
+             "The ticket would leave a service without capacity and does not say so."},
+    CodeInfo{Code::TicketWaiting, "TicketWaiting", "The ticket is staged and waits for instances to confirm."},
+    CodeInfo{Code::UnknownTicket, "UnknownTicket", "No ticket has this number."},
+    CodeInfo{Code::BadConfiguration, "BadConfiguration", "The configuration document is malformed."},
+    CodeInfo{Code::OlderRevision, "OlderRevision", "The revision offered is older than the one in force."},
+    CodeInfo{Code::TicketBusy, "TicketBusy", "Another ticket is staged; submit again when it has ended."},
+    CodeInfo{Code::BadSettings, "BadSettings", "A settings file has an error."},
+    CodeInfo{Code::UnknownSetting, "UnknownSetting", "A settings file names a section or key that does not exist."},
+    CodeInfo{Code::BadUsage, "BadUsage", "The command line is not valid."},
+    CodeInfo{Code::StoreUnavailable, "StoreUnavailable", "The store did not answer."},
+    CodeInfo{Code::StoreConflict, "StoreConflict", "The compare-and-swap found another version."},
+    CodeInfo{Code::StoreUnknown, "StoreUnknown", "The write may or may not have taken effect."},
+    CodeInfo{Code::StoreBadValue, "StoreBadValue", "The store holds a value that cannot be read."},
+    CodeInfo{Code::StoreTooLarge, "StoreTooLarge", "The value is larger than the store accepts."},
+    CodeInfo{Code::LeaseLapsed, "LeaseLapsed", "The lease has lapsed by the local clock or in the store."},
+    CodeInfo{Code::NotFound, "NotFound", "The store has no such key."},
+    CodeInfo{Code::BadMessage, "BadMessage", "A message of the inner protocol cannot be decoded."},
+    CodeInfo{Code::StrangerRefused, "StrangerRefused", "The peer does not hold a key that is known here."},
+    CodeInfo{Code::StaleKey, "StaleKey", "The peer uses a key that has been retired."},
+    CodeInfo{Code::PeerUnavailable, "PeerUnavailable", "The peer did not answer in time."},
+    CodeInfo{Code::TokenRefused, "TokenRefused", "The operators' token is missing or wrong."},
+    CodeInfo{Code::QueueClosed, "QueueClosed", "The process is draining and takes no new work."},
+    CodeInfo{Code::OverBudget, "OverBudget", "The budget for measuring or control is spent."},
+    CodeInfo{Code::SystemError, "SystemError", "A call to the operating system failed."},
+    CodeInfo{Code::RetryBudgetSpent, "RetryBudgetSpent", "The budget for retries of the service is spent."},
+});
+
+} // namespace
+
+tl::unexpected<Error> fail(Code code, std::string_view detail)
+{
+    return tl::make_unexpected(Error{code, std::string(detail)});
+}
+
+std::span<const CodeInfo> codeTable()
+{
+    return Codes;
+}
+
+std::string_view codeName(Code code)
+{
+    const auto it = std::find_if(Codes.begin(), Codes.end(), [code](const CodeInfo &n) { return n.code == code; });
+    return it == Codes.end() ? std::string_view("Unknown") : it->name;
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/base/worker_pool.cpp
@@ -0,0 +1,86 @@
+#include "base/worker_pool.h"
+
+#include "base/check.h"
+
+namespace damask {
+
+WorkerPool::WorkerPool(Clock &clock, const WorkerPoolOptions &options)
+    : m_options(options)
+    , m_available(clock)
+{
+    DAMASK_ASSERT(options.threads > 0, "give the pool at least one thread");
+    for (size_t n = 0; n < options.threads; ++n) {
+        m_threads.emplace_back(options.name, [this] { work(); });
+    }
+}
+
+WorkerPool::~WorkerPool()
+{
+    drain();
+}
+
+Result<void> WorkerPool::submit(Task task)
+{
+    LockGuard lock(m_mutex);
+    if (m_closed) {
+        return fail(Code::QueueClosed, m_options.name);
+    }
+    if (m_queue.size() >= m_options.queueLimit) {
+        return fail(Code::QueueFull, m_options.name);
+    }
+    m_queue.push_back(std::move(task));
+    m_available.notifyOne();
+    return {};
+}
+
+void WorkerPool::drain()
+{
+    {
+        LockGuard lock(m_mutex);
+        m_closed = true;
+        m_available.notifyAll();
+    }
+    for (Thread &it : m_threads) {
+        it.join();
+    }
+}
+
+size_t WorkerPool::busy() const
+{
+    LockGuard lock(m_mutex);
+    return m_busy;
+}
+
+size_t WorkerPool::queued() const
+{
+    LockGuard lock(m_mutex);
+    return m_queue.size();
+}
+
+void WorkerPool::work()
+{
+    Task task;
+    while (take(task)) {
+        task();
+        task = nullptr;
+        LockGuard lock(m_mutex);
+        --m_busy;
+    }
+}
+
+bool WorkerPool::take(Task &task)
+{
+    LockGuard lock(m_mutex);
+    while (m_queue.empty()) {
+        if (m_closed) {
+            return false;
+        }
+        m_available.wait(lock);
+    }
+    task = std::move(m_queue.front());
+    m_queue.pop_front();
+    ++m_busy;
+    return true;
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/config/model.h
@@ -0,0 +1,118 @@
+/// The configuration that operators create: services, pools of targets, rules, data centres and links.
+///
+/// Plain values. Every named thing carries a version that rises by one with each ticket that changes it;
+/// the whole carries a revision that rises by one with each accepted ticket and never goes back.
+#pragma once
+
+#include "base/time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace damask {
+
+/// A server process that runs requests.
+struct Target {
+    std::string name;             // unique in its pool
+    std::string address;          // IP number
+    uint16_t    port = 0;         // TCP
+    std::string dataCentre;       // name of a DataCentre
+    int         slots = 1;        // requests it runs at once
+    bool        draining = false; // takes no new work: set by a ticket
+
+    bool operator==(const Target &) const = default;
+};
+
+/// A named set of targets.
+struct Pool {
+    std::string         name;
+    uint64_t            version = 0;
+    std::vector<Target> targets; // in the order of their names
+
+    bool operator==(const Pool &) const = default;
+};
+
+/// What requests of one kind need, and how they are treated.
+struct Service {
+    std::string name;
+    uint64_t    version = 0;
+    std::string pool;                                       // name of the Pool that serves it
+    Duration    deadline = std::chrono::seconds(2);         // when a caller gives none
+    int         maxDepth = 16;                              // calls above a call, at most
+    int         queueLimit = 64;                            // calls that wait for a slot in one entry
+    Duration    queueWait = std::chrono::milliseconds(100); // waiting for a slot, at most
+    double      retryRatio = 0.1;                           // retries and hedges for each call, at most
+    bool        hedge = false;                              // a second attempt for late idempotent calls
+    Duration    hedgeAfter = std::chrono::milliseconds(50); // least time before a hedge
+    int         connectionShare = 12;                       // connections one entry holds to one target
+    double      measureBytesPerSecond = 4096;               // budget for probes from one entry
+    double      measureProbesPerSecond = 20;                // budget for probes from one entry
+    double      regionBytesPerSecond = 1e6;                 // calls' bytes to other regions from one entry
+
+    bool operator==(const Service &) const = default;
+};
+
+/// Which requests a rule lets be sent again.
+enum class Idempotency {
+    ByMethod, // GET, HEAD, OPTIONS, PUT and DELETE as in RFC 9110
+    Always,   // every request under the rule may run twice
+    Never,    // no request under the rule may run twice
+};
+
+/// Where requests may go. The rule with the longest matching prefix decides; one that names a host goes first.
+struct Rule {
+    std::string              name;
+    uint64_t                 version = 0;
+    std::string              host;         // empty: any
+    std::string              prefix = "/"; // of the path
+    std::string              service;      // name of the Service; empty: such requests are refused
+    Idempotency              idempotency = Idempotency::ByMethod;
+    std::vector<std::string> dataCentres; // where requests may go; empty: anywhere
+
+    bool operator==(const Rule &) const = default;
+};
+
+/// A data centre and the region it stands in.
+struct DataCentre {
+    std::string name;
+    uint64_t    version = 0;
+    std::string region;
+
+    bool operator==(const DataCentre &) const = default;
+};
+
+/// The link between two regions, the same in both directions. Within a region delays are taken as Duration(1.5 ms).
+struct Link {
+    std::string name; // two region names joined by "--", in alphabetical order
+    uint64_t    version = 0;
+    Duration    delay = std::chrono::milliseconds(8); // one way
+
+    bool operator==(const Link &) const = default;
+};
+
+/// A public key that the inner protocol knows; a retired one is refused and named.
+struct PeerKey {
+    std::string name;
+    uint64_t    version = 0;
+    std::string publicKey; // 40 characters of Z85
+    bool        retired = false;
+
+    bool operator==(const PeerKey &) const = default;
+};
+
+/// The whole state that tickets change. Lists are in the order of names.
+struct Configuration {
+    uint64_t                revision = 0;
+    std::vector<Service>    services;
+    std::vector<Pool>       pools;
+    std::vector<Rule>       rules;
+    std::vector<DataCentre> dataCentres;
+    std::vector<Link>       links;
+    std::vector<PeerKey>    keys;
+
+    bool operator==(const Configuration &) const = default;
+};
+
+} // namespace damask
--- /dev/null
+++ b/src/route/balancer.h
@@ -0,0 +1,118 @@
+/// The shared table of targets and what is known of their load: grants permits to send, one for each attempt.
+///
+/// Use, from any thread that serves a call:
+///     auto permit = balancer.acquire({.service = "listings", .deadline = deadline});
+///     ... send to permit->target ...
+///     balancer.finish(*permit, report);   // exactly once for each permit
+/// Pitfall: acquire() may wait (late binding) until the deadline or the service's queueWait.
+#pragma once
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "base/random.h"
+#include "base/result.h"
+#include "call/cancel.h"
+#include "call/message.h"
+#include "config/model.h"
+#include "route/pick.h"
+
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace damask {
+
+/// Where a permit lets its holder send. Lives as long as the permit that points to it.
+struct TargetAddress {
+    std::string name;                // "pool/target"
+    std::string address;             // IP number
+    uint16_t    port = 0;            // TCP
+    int         connectionShare = 8; // connections this entry may hold to it
+};
+
+/// What an attempt needs.
+struct AcquireRequest {
+    std::string_view             service;            // name of a Service
+    std::string_view             caller;             // for fairness
+    std::span<const std::string> dataCentres = {};   // allowed; empty: all
+    TimePoint                    deadline = Never;   // of the call
+    bool                         idempotent = false; // trials after an ejection take idempotent calls only
+    std::string_view             avoid = {};         // name of a target that failed this call before
+    size_t                       bodyBytes = 0;      // for the budget across regions
+    bool                         mayWait = true;     // false: refuse at once when no slot is free (hedges)
+    CancelToken                 *cancel = nullptr;   // ends a wait early
+};
+
+/// Leave to send one attempt to one target.
+struct Permit {
+    uint64_t                             id = 0;    // unique in this process
+    std::shared_ptr<const TargetAddress> address;   // where to send
+    std::string                          service;   // name
+    TimePoint                            grantedAt; // when
+    Duration                             waited{0}; // for a slot
+};
+
+/// What is handed back with a permit.
+struct PermitReport {
+    AttemptEnd                end = AttemptEnd::NotSent;
+    Code                      code = Code::Ok;
+    std::optional<LoadReport> load;       // as carried on the answer
+    int                       status = 0; // HTTP status when answered; 5xx counts against the target
+};
+
+/// News of a target's load or drain that came from a probe, a peer or the instance list.
+struct LoadNews {
+    std::string target;          // "pool/target"
+    LoadReport  report;          // what it says
+    Duration    age{0};          // how old the report was when it came in
+    bool        leaving = false; // the instance list or a peer says it is leaving
+};
+
+/// What is known of one target, for status pages and `damaskctl why`.
+struct TargetStatus {
+    std::string name;
+    std::string dataCentre;
+    int         inFlight = 0; // ours
+    double      estimate = 0; // of all entries' calls in flight, decayed by age
+    Duration    reportAge{0}; // since the last report; 0 with reported == false
+    bool        reported = false;
+    bool        draining = false;
+    bool        ejected = false;
+    Duration    oldestCall{0};  // age of our oldest call in flight
+    Duration    typicalTime{0}; // time of answers
+};
+
+struct BalancerOptions {
+    std::string dataCentre;                                     // of this entry
+    Duration    reportHalfLife = std::chrono::milliseconds(20); // how fast a report loses weight
+    size_t      whyEvents = 4096;                               // decisions kept for `damaskctl why`
+};
+
+/// What varies: the policy and the random source.
+struct BalancerHooks {
+    PickPolicy   pick;   // default: damaskPolicy()
+    RandomSource random; // default: systemRandom()
+};
+
+class Balancer
+{
+public:
+    Balancer(Clock &clock, Metrics &metrics, const BalancerOptions &options, BalancerHooks hooks = {});
+    ~Balancer();
+
+    void           apply(std::shared_ptr<const Configuration> configuration); // revision never decreases (asserted)
+    Result<Permit> acquire(const AcquireRequest &request);                    // 1xx codes; nothing was sent
+    void           finish(const Permit &permit, const PermitReport &report);  // exactly once for each permit
+    void           absorb(std::span<const LoadNews> news);
+    std::vector<LoadNews>     ownNews() const; // what this entry knows, for its peers
+    std::vector<TargetStatus> status(std::string_view service) const;
+    int                       inFlight() const; // permits out now
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace damask
--- /dev/null
+++ b/src/route/dispatcher.h
@@ -0,0 +1,56 @@
+/// The life of one call: rule, admission, attempts, retries, hedge, outcome.
+///
+/// Use: `Answer answer = dispatcher.dispatch(request, cancel);` on a worker thread; it returns when the call ended.
+#pragma once
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "call/cancel.h"
+#include "call/message.h"
+#include "config/model.h"
+#include "route/balancer.h"
+
+#include <functional>
+#include <memory>
+
+namespace damask {
+
+/// One attempt as given to the sender.
+struct Attempt {
+    const TargetAddress &address;
+    const CallRequest   &request;
+    Duration             timeLeft;   // until the call's deadline
+    int                  number = 1; // from 1
+    bool         idempotent = false; // a non-idempotent attempt goes on a connection proven alive, or a fresh one
+    CancelToken *cancel;             // cancelling closes the attempt's connection; never null
+};
+
+/// What varies: how an attempt is sent, and how work is run beside the caller's thread (hedges).
+struct DispatcherHooks {
+    std::function<AttemptResult(const Attempt &)> send;      // blocks until the attempt ended
+    std::function<bool(std::function<void()>)>    runBeside; // false when no thread is free; empty: no hedges
+};
+
+struct DispatcherOptions {
+    Duration safety = std::chrono::milliseconds(2); // kept of the deadline for the way back
+    size_t   whyEvents = 4096;                      // calls kept for `damaskctl why`
+};
+
+class Dispatcher
+{
+public:
+    Dispatcher(Clock &clock, Metrics &metrics, Balancer &balancer, const DispatcherOptions &options,
+               DispatcherHooks hooks);
+    ~Dispatcher();
+
+    void        apply(std::shared_ptr<const Configuration> configuration); // the balancer gets it first
+    Answer      dispatch(const CallRequest &request, CancelToken &cancel);
+    std::string why(std::string_view requestId) const; // JSON of what was decided and known; empty when gone
+    std::string whyService(std::string_view service, size_t most) const; // JSON list of its last calls
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace damask
--- /dev/null
+++ b/src/settings/ini.cpp
@@ -0,0 +1,131 @@
+#include "settings/ini.h"
+
+#include <algorithm>
+#include <cstring>
+#include <fstream>
+#include <ini.h>
+#include <numeric>
+
+namespace damask {
+
+namespace {
+
+/// What the callbacks of inih share.
+struct Reading {
+    std::string_view rest; // text not yet read
+    int line = 0;          // line last read, from 1
+    Result<void> opened;   // the failure of the last header, if any
+    std::vector<IniSection> sections;
+};
+
+Result<void> openSection(Reading &reading, std::string_view row)
+{
+    const std::string_view header = row.substr(1, row.find(']') - 1);
+    const size_t space = header.find(' ');
+    IniSection section;
+    section.kind = header.substr(0, space);
+    if (space != std::string_view::npos) {
+        section.name = header.substr(std::min(header.find_first_not_of(' ', space), header.size()));
+    }
+    section.line = reading.line;
+    for (const IniSection &it : reading.sections) {
+        if (it.kind == section.kind && it.name == section.name) {
+            return fail(Code::BadSettings, ":" + std::to_string(reading.line) + ": section [" + std::string(header)
+                                               + "] stands twice; join the two");
+        }
+    }
+    reading.sections.push_back(std::move(section));
+    return {};
+}
+
+/// inih's reader: hands over one line, counts it and notes a section's header.
+char *readLine(char *buf, int size, void *stream)
+{
+    auto &reading = *static_cast<Reading *>(stream);
+    if (reading.rest.empty() || size < 2 || !reading.opened) {
+        return nullptr;
+    }
+    const size_t end = std::min(reading.rest.find('\n'), reading.rest.size() - 1) + 1;
+    const size_t n = std::min(end, static_cast<size_t>(size) - 1);
+    const std::string_view row = reading.rest.substr(0, n);
+    std::memcpy(buf, row.data(), n);
+    buf[n] = '\0';
+    reading.rest.remove_prefix(n);
+    ++reading.line;
+    if (row.front() == '[' && row.find(']') != std::string_view::npos) {
+        reading.opened = openSection(reading, row);
+    }
+    return buf;
+}
+
+/// inih's handler: one entry of the section opened last.
+int handleEntry(void *user, const char *, const char *name, const char *value)
+{
+    auto &reading = *static_cast<Reading *>(user);
+    if (reading.sections.empty()) {
+        reading.sections.push_back({.kind = "", .name = "", .line = reading.line, .entries = {}});
+    }
+    reading.sections.back().entries.push_back({name, value == nullptr ? "" : value, reading.line});
+    return 1;
+}
+
+} // namespace
+
+Result<std::vector<IniSection>> readIni(std::string_view text, std::string_view source)
+{
+    if (text.find('\0') != std::string_view::npos) {
+        return fail(Code::BadSettings, std::string(source) + ": holds a zero byte; INI is plain text");
+    }
+    Reading reading;
+    reading.rest = text;
+    const int ec = ini_parse_stream(readLine, &reading, handleEntry, &reading);
+    if (!reading.opened) {
+        return fail(Code::BadSettings, std::string(source) + reading.opened.error().detail);
+    }
+    if (ec != 0) {
+        return fail(Code::BadSettings,
+                    std::string(source) + ":" + std::to_string(ec) + ": neither a [section] nor a `key = value` line");
+    }
+    return std::move(reading.sections);
+}
+
+Result<std::string> readFile(std::string_view path, size_t maxBytes)
+{
+    std::ifstream file{std::string(path), std::ios::binary};
+    if (!file) {
+        return fail(Code::SystemError, std::string(path) + ": can't be opened");
+    }
+    std::string text(maxBytes + 1, '\0');
+    file.read(text.data(), static_cast<std::streamsize>(text.size()));
+    text.resize(static_cast<size_t>(file.gcount()));
+    if (text.size() > maxBytes) {
+        return fail(Code::SystemError, std::string(path) + ": longer than " + std::to_string(maxBytes) + " bytes");
+    }
+    return text;
+}
+
+std::string_view nearestName(std::string_view word, std::span<const std::string_view> candidates)
+{
+    std::string_view best;
+    size_t bestDistance = SIZE_MAX;
+    for (const std::string_view candidate : candidates) {
+        std::vector<size_t> row(candidate.size() + 1);
+        std::iota(row.begin(), row.end(), size_t{0});
+        for (size_t n = 0; n < word.size(); ++n) {
+            size_t diagonal = row[0];
+            row[0] = n + 1;
+            for (size_t m = 0; m < candidate.size(); ++m) {
+                const size_t swap = diagonal + (word[n] == candidate[m] ? 0 : 1);
+                diagonal = row[m + 1];
+                row[m + 1] = std::min({swap, row[m] + 1, row[m + 1] + 1});
+            }
+        }
+        if (row.back() < bestDistance) {
+            bestDistance = row.back();
+            best = candidate;
+        }
+    }
+    return best;
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/startup/program.cpp
@@ -0,0 +1,99 @@
+#include "startup/program.h"
+
+#include "base/log.h"
+#include "settings/ini.h"
+
+#include <csignal>
+#include <cstdio>
+#include <docopt/docopt.h>
+#include <iostream>
+#include <vector>
+
+namespace damask {
+
+namespace {
+
+std::string optionText(const std::map<std::string, docopt::value> &arguments, std::string_view name)
+{
+    const auto it = arguments.find(std::string(name));
+    return it != arguments.end() && it->second.isString() ? it->second.asString() : std::string();
+}
+
+bool optionFlag(const std::map<std::string, docopt::value> &arguments, std::string_view name)
+{
+    const auto it = arguments.find(std::string(name));
+    return it != arguments.end() && it->second.isBool() && it->second.asBool();
+}
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+ProgramStart refuse(const ProgramOptions &options, const Error &error)
+{
+    std::cerr << options.name << ": " << codeName(error.code) << " (" << codeNumber(error.code) << ")\n"
+              << error.detail << "\n";
+    return {std::nullopt, ExitSettings};
+}
+
+} // namespace
+
+ProgramStart startProgram(int argc, char **argv, const ProgramOptions &options)
+{
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    std::map<std::string, docopt::value> arguments;
+    try {
+        arguments = docopt::docopt_parse(std::string(options.usage), words, true, true);
+    } catch (const docopt::DocoptExitHelp &) {
+        std::cout << options.usage;
+        return {std::nullopt, ExitOk};
+    } catch (const docopt::DocoptExitVersion &) {
+        std::cout << options.name << " " << DAMASK_VERSION << "\n";
+        return {std::nullopt, ExitOk};
+    } catch (const std::exception &ec) {
+        std::cerr << ec.what() << "\n" << options.usage;
+        return {std::nullopt, ExitUsage};
+    }
+
+    std::string text;
+    const std::string path = optionText(arguments, "--settings");
+    if (!path.empty()) {
+        auto read = readFile(path);
+        if (!read) {
+            return refuse(options, read.error());
+        }
+        text = std::move(*read);
+    }
+    auto settings = Settings::load(text, path.empty() ? "defaults" : path, options.specs);
+    if (!settings) {
+        return refuse(options, settings.error());
+    }
+    if (optionFlag(arguments, "--print-settings")) {
+        std::cout << settings->print();
+        return {std::nullopt, ExitOk};
+    }
+    if (optionFlag(arguments, "--check")) {
+        std::cout << options.name << ": the settings are valid\n";
+        return {std::nullopt, ExitOk};
+    }
+    startLogging(options.name);
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return {std::move(*settings), ExitOk};
+}
+
+void waitForStop()
+{
+    const sigset_t signals = stopSignals();
+    int received = 0;
+    sigwait(&signals, &received);
+    logEvent(Severity::Info, "stop-asked", {{"signal", received}});
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/startup/program.h
@@ -0,0 +1,46 @@
+/// What every program does first: command line, settings, logs, signals.
+///
+/// Use:
+///     const auto program = startProgram(argc, argv, {.name = "damask-entry", .usage = Usage, .specs = Specs});
+///     if (!program.settings) { return program.exitCode; }
+///     ... start ...
+///     waitForStop();
+/// The usage text must offer --settings=FILE, --check, --print-settings, --version and --help.
+#pragma once
+
+#include "settings/settings.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace damask {
+
+/// Exit codes of all programs; docs/INTERFACE.md has the table.
+enum ExitCode : int {
+    ExitOk = 0,       // done, or stopped gracefully
+    ExitFailed = 1,   // the operation was refused or failed; the message names the result code
+    ExitUsage = 2,    // the command line is wrong
+    ExitSettings = 3, // the settings are wrong
+};
+
+struct ProgramOptions {
+    std::string_view             name;  // of the binary
+    std::string_view             usage; // docopt text
+    std::span<const SettingSpec> specs; // table of settings
+};
+
+struct ProgramStart {
+    std::optional<Settings> settings; // empty: return exitCode from main
+    int                     exitCode = ExitOk;
+};
+
+/// Parses and checks; answers --help, --version, --check and --print-settings; starts the logs and blocks
+/// the stop signals in this thread and those it starts.
+ProgramStart startProgram(int argc, char **argv, const ProgramOptions &options);
+
+/// Waits for SIGTERM or SIGINT without spinning.
+void waitForStop();
+
+} // namespace damask
--- /dev/null
+++ b/tests/settings/test_settings.cpp
@@ -0,0 +1,58 @@
+#include "settings/settings.h"
+
+#include <array>
+#include <criterion/criterion.h>
+
+using namespace damask;
+using namespace std::chrono_literals;
+
+static constexpr auto Specs = std::to_array<SettingSpec>({
+    {"front", "port", SettingType::Number, "8080", "Port for callers.", 1, 65535},
+    {"front", "idle-timeout", SettingType::Interval, "30 s", "Closes idle connections.", 100, 600000},
+    {"front", "max-body", SettingType::Size, "1 MB", "Largest body.", 1, 1e8},
+    {"member", "name", SettingType::Text, "", "Name of this instance.", 0, 0, true},
+    {"member", "peers", SettingType::List, "", "Peers."},
+});
+
+static std::string errorsOf(std::string_view text)
+{
+    const auto settings = Settings::load(text, "a.ini", Specs);
+    return settings ? "" : settings.error().detail;
+}
+
+Test(settings, values_and_defaults_are_read_by_type)
+{
+    const auto settings =
+        Settings::load("[front]\nidle-timeout = 250 ms\n[member]\nname = e1\npeers = a, b\n", "a.ini", Specs);
+    cr_assert(settings.has_value());
+    cr_assert(settings->number("front", "port") == 8080);
+    cr_assert(settings->interval("front", "idle-timeout") == 250ms);
+    cr_assert(settings->size("front", "max-body") == 1024 * 1024);
+    cr_assert(settings->list("member", "peers").size() == 2);
+}
+
+Test(settings, each_error_names_line_and_nearest_name)
+{
+    const std::string errors = errorsOf("[frnt]\nport = 1\n[front]\nprt = 1\nport = 70000\nidle-timeout = 3 weeks\n");
+    cr_assert(errors.find("a.ini:1: unknown section [frnt]; nearest is [front]") != std::string::npos, "%s",
+              errors.c_str());
+    cr_assert(errors.find("a.ini:4: unknown key prt in [front]; nearest is port") != std::string::npos);
+    cr_assert(errors.find("a.ini:5: port = 70000: out of range: allowed is 1 to 65535") != std::string::npos);
+    cr_assert(errors.find("a.ini:6: idle-timeout = 3 weeks: needs a number and a unit") != std::string::npos);
+    cr_assert(errors.find("[member] name is missing") != std::string::npos);
+}
+
+Test(settings, a_key_or_section_that_stands_twice_is_an_error)
+{
+    cr_assert(errorsOf("[member]\nname = a\nname = b\n").find("a.ini:3: name stands twice") != std::string::npos);
+    cr_assert(errorsOf("[member]\nname = a\n[front]\nport = 1\n[member]\npeers = b\n").find("a.ini:5: section")
+              != std::string::npos);
+}
+
+Test(settings, what_is_printed_can_be_read_again)
+{
+    const auto settings = Settings::load("[member]\nname = e1\n", "a.ini", Specs);
+    const auto again = Settings::load(settings->print(), "printed", Specs);
+    cr_assert(again.has_value());
+    cr_assert(again->print() == settings->print());
+}
