--- a/src/operate/server.h
+++ b/src/operate/server.h
@@ -15,6 +15,7 @@
 
 namespace damask {
 
+/// What an operator asked for.
 struct OperateRequest {
     std::string                        method;
     std::string                        path;
@@ -22,22 +23,30 @@
     std::string                        body;
 };
 
+/// What the operator gets.
 struct OperateResponse {
     int         status = 200;
     std::string type = "application/json";
     std::string body;
 };
 
+/// Answers one request; called on a thread of the server.
 using OperateHandler = std::function<OperateResponse(const OperateRequest &)>;
 
+/// Options of an OperateServer.
 struct OperateOptions {
     std::string address = "127.0.0.1";      // IP number to listen on
     uint16_t    port = 0;                   // TCP; 0: any free one
-    std::string token;                      // asked for as "Authorization: Bearer TOKEN"; empty: none is asked for
+    std::string token = {};                 // asked for as "Authorization: Bearer TOKEN"; empty: none is asked for
     size_t      threads = 2;                // requests served at once
     size_t      maxBodyBytes = 1024 * 1024; // of a request
+
+    std::function<void(Code)> refused = {}; // hears each refusal, to count it; may be empty
 };
 
+/// An answer that names a failure: {"code": 705, "name": "TokenRefused", "detail": "..."}.
+OperateResponse operateError(int status, const Error &error);
+
 class OperateServer
 {
 public:
