Serve callers' HTTP from parked connections

Cause: the stock server keeps a thread for each kept connection, wakes it 100 times a second and changes requests and answers on the way (percent escapes in fields, ranges, compression). Change: one poller gathers whole requests in epoll; a worker has a connection only while the handler runs; the library reads the request line and writes the answer; fields are split here so that they pass unchanged; what could be read in two ways is refused. Limits with code and counter; workers kept for deeper calls; calls are cancelled when the caller closes; a stop cuts none.

--- /dev/null
+++ b/src/front/admission.cpp
@@ -0,0 +1,46 @@
+#include "front/admission.h"
+
+#include "base/check.h"
+
+#include <algorithm>
+
+namespace damask {
+
+Admission::Admission(const AdmissionOptions &options)
+    : m_options(options)
+{
+    DAMASK_ASSERT(options.levels >= 0, "give a number of levels of zero or more");
+    DAMASK_ASSERT(options.workers > options.reservedEach * static_cast<size_t>(options.levels),
+                  "raise the workers or lower those reserved for deeper calls");
+}
+
+size_t Admission::limit(int depth) const
+{
+    const int deeper = m_options.levels - std::clamp(depth, 0, m_options.levels);
+    return m_options.workers - m_options.reservedEach * static_cast<size_t>(deeper);
+}
+
+bool Admission::enter(int depth)
+{
+    const size_t most = limit(depth);
+    size_t n = m_busy.load(std::memory_order_relaxed);
+    while (n < most) {
+        if (m_busy.compare_exchange_weak(n, n + 1, std::memory_order_acq_rel)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void Admission::leave()
+{
+    const size_t before = m_busy.fetch_sub(1, std::memory_order_acq_rel);
+    DAMASK_ASSERT(before > 0, "leave once for each call that entered");
+}
+
+size_t Admission::busy() const
+{
+    return m_busy.load(std::memory_order_acquire);
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/front/calls.cpp
@@ -0,0 +1,135 @@
+#include "front/state.h"
+
+#include "base/check.h"
+#include "base/log.h"
+#include "front/translate.h"
+
+#include <array>
+#include <cstdio>
+
+namespace damask {
+
+namespace {
+
+std::string makeRequestId(const RandomSource &random)
+{
+    std::array<char, 40> buf{};
+    std::snprintf(buf.data(), buf.size(), "%016llx%016llx", static_cast<unsigned long long>(random()),
+                  static_cast<unsigned long long>(random()));
+    return buf.data();
+}
+
+bool isServable(std::string_view method, std::string_view path)
+{
+    return method != "CONNECT" && (path.starts_with('/') || (path == "*" && method == "OPTIONS"));
+}
+
+} // namespace
+
+/// Hands the request that the reader has ready to a worker. False when it was answered here, with a refusal.
+bool FrontServer::State::startCall(const ConnectionPtr &it)
+{
+    WholeRequest whole = it->reader.take();
+    account(*it);
+    setDeadline(*it, Never);
+    requests.Increment();
+    ++it->requests;
+    it->head = {};
+    it->head.line = whole.head.line;
+    it->head.close = whole.head.close;
+    it->head.keepAlive = whole.head.keepAlive;
+    const TimePoint arrivedAt = it->firstByteAt == Never ? clock.now() : it->firstByteAt;
+    it->firstByteAt = it->reader.idle() ? Never : clock.now();
+    auto call = toCall(std::move(whole), {it->peer, arrivedAt, [this] {
+                                              return makeRequestId(random);
+                                          }});
+    if (!call) {
+        answerHere(*it, {}, call.error());
+        return false;
+    }
+    if (!admission.enter(call->depth)) {
+        answerHere(*it, call->requestId, {Code::EntryBusy, "all workers for this depth are in use"});
+        return false;
+    }
+    const auto cancel = std::make_shared<CancelToken>();
+    {
+        LockGuard lock(mutex);
+        it->phase = Phase::Serving;
+        it->cancel = cancel;
+        events.arm(it->socket.get(), it->id, EPOLLRDHUP);
+    }
+    const auto taken =
+        workers.submit([this, it, cancel, request = std::move(*call)]() mutable { serve(it, request, *cancel); });
+    DAMASK_ASSERT(taken.has_value(), "admission lets in no more calls than the pool has workers");
+    return true;
+}
+
+void FrontServer::State::serve(const ConnectionPtr &it, CallRequest &call, CancelToken &cancel)
+{
+    ++taskCount;
+    const auto hook = [&](std::string_view method, std::string_view path) {
+        if (!isServable(method, path)) {
+            const Error error{Code::BadRequest, "the method or the form of the target is not served"};
+            countRefusal(error.code);
+            return refusal(error);
+        }
+        call.method = method;
+        call.path = path;
+        return answerCall(call, cancel);
+    };
+    EncodedAnswer answer = exchange.run(it->head, call.requestId, leaving, hook);
+    admission.leave();
+    it->out = std::move(answer.bytes);
+    it->close = answer.close || leaving || cancel.cancelled();
+    drive(it);
+}
+
+Answer FrontServer::State::answerCall(const CallRequest &call, CancelToken &cancel)
+{
+    Answer answer = handler(call, cancel);
+    if (answer.code != Code::Ok && answer.body.empty()) {
+        Answer said = refusal({answer.code, "see docs/CODES.md"});
+        answer.headers = std::move(said.headers);
+        answer.body = std::move(said.body);
+    }
+    return answer;
+}
+
+/// Answers a well-formed request with a refusal on its open connection.
+void FrontServer::State::answerHere(Connection &it, std::string_view requestId, const Error &error)
+{
+    countRefusal(error.code);
+    Answer answer = refusal(error);
+    if (error.code == Code::EntryBusy) {
+        answer.retryAfter = options.retryAfter;
+    }
+    const auto hook = [&answer](std::string_view, std::string_view) {
+        return answer;
+    };
+    EncodedAnswer encoded = exchange.run(it.head, requestId, leaving, hook);
+    it.out = std::move(encoded.bytes);
+    it.close = encoded.close;
+}
+
+/// Answers what could not be read as a request; the connection closes, for nobody knows where the next one begins.
+void FrontServer::State::refuseAndClose(Connection &it, const Error &error)
+{
+    countRefusal(error.code);
+    logEvent(Severity::Info, "request-refused",
+             {{"code", codeNumber(error.code)}, {"peer", it.peer}, {"detail", error.detail}});
+    Answer answer = refusal(error);
+    if (answer.status == 503) {
+        answer.retryAfter = options.retryAfter;
+    }
+    it.out = exchange.refuse(answer);
+    it.sent = 0;
+    it.close = true;
+    setDeadline(it, Never);
+}
+
+void FrontServer::State::countRefusal(Code code)
+{
+    metrics.countCode("damask_front_refusals_total", code);
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/front/chunked.cpp
@@ -0,0 +1,103 @@
+#include "front/chunked.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace damask {
+
+namespace {
+
+constexpr size_t MaxLineBytes = 4096;    // of a chunk's size line or of a trailer's line
+constexpr size_t MaxTrailerBytes = 8192; // of all trailer lines
+constexpr size_t MaxSizeDigits = 8;      // of a chunk's size, hexadecimal
+
+} // namespace
+
+ChunkedReader::ChunkedReader(size_t maxBodyBytes)
+    : m_maxBodyBytes(maxBodyBytes)
+{
+}
+
+std::string &ChunkedReader::body()
+{
+    return m_body;
+}
+
+const std::string &ChunkedReader::body() const
+{
+    return m_body;
+}
+
+Result<bool> ChunkedReader::take(std::string_view &bytes)
+{
+    while (!bytes.empty()) {
+        if (m_state == State::Data) {
+            takeData(bytes);
+            continue;
+        }
+        const size_t before = bytes.size();
+        const auto ended = takeLine(bytes);
+        if (!ended || *ended) {
+            return ended;
+        }
+        if (bytes.size() == before) {
+            break;
+        }
+    }
+    return false;
+}
+
+void ChunkedReader::takeData(std::string_view &bytes)
+{
+    const size_t n = std::min(m_left, bytes.size());
+    m_body.append(bytes.substr(0, n));
+    bytes.remove_prefix(n);
+    m_left -= n;
+    if (m_left == 0) {
+        m_state = State::DataEnd;
+    }
+}
+
+Result<bool> ChunkedReader::takeLine(std::string_view &bytes)
+{
+    const size_t end = bytes.find('\n');
+    if (end == std::string_view::npos) {
+        if (bytes.size() > MaxLineBytes) {
+            return fail(Code::BadRequest, "a line of the chunked body is too long");
+        }
+        return false;
+    }
+    if (end == 0 || bytes[end - 1] != '\r' || end > MaxLineBytes) {
+        return fail(Code::BadRequest, "a line of the chunked body is malformed");
+    }
+    const std::string_view line = bytes.substr(0, end - 1);
+    bytes.remove_prefix(end + 1);
+    if (m_state == State::Size) {
+        return takeSize(line).map([] { return false; });
+    }
+    if (m_state == State::DataEnd) {
+        m_state = State::Size;
+        return line.empty() ? Result<bool>(false) : fail(Code::BadRequest, "a chunk is longer than its size says");
+    }
+    m_trailerBytes += line.size();
+    if (m_trailerBytes > MaxTrailerBytes) {
+        return fail(Code::HeaderTooLarge, "the trailer is too large");
+    }
+    return line.empty();
+}
+
+Result<void> ChunkedReader::takeSize(std::string_view line)
+{
+    const std::string_view digits = line.substr(0, line.find_first_of("; \t"));
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), m_left, 16);
+    if (digits.empty() || digits.size() > MaxSizeDigits || ec != std::errc() || end != digits.data() + digits.size()) {
+        return fail(Code::BadRequest, "the size of a chunk is not a hexadecimal number");
+    }
+    if (m_left > m_maxBodyBytes - m_body.size()) {
+        return fail(Code::BodyTooLarge, "the body is larger than the limit");
+    }
+    m_state = m_left == 0 ? State::Trailer : State::Data;
+    return {};
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/front/head.cpp
@@ -0,0 +1,223 @@
+#include "front/head.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace damask {
+
+namespace {
+
+constexpr std::string_view LineEnd = "\r\n";
+constexpr size_t MaxLengthDigits = 18; // of Content-Length, so that it fits
+
+constexpr std::array<std::string_view, 9> HopByHop{
+    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade",
+};
+
+bool isTokenChar(char c)
+{
+    constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+           || Others.find(c) != std::string_view::npos;
+}
+
+bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenChar);
+}
+
+bool isValueChar(char c)
+{
+    const auto n = static_cast<unsigned char>(c);
+    return n == '\t' || (n >= 0x20 && n != 0x7f);
+}
+
+bool isLineChar(char c)
+{
+    return c >= 0x20 && c < 0x7f;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+std::string lowered(std::string_view text)
+{
+    std::string out(text);
+    std::transform(out.begin(), out.end(), out.begin(),
+                   [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+    return out;
+}
+
+std::string_view withoutPort(std::string_view host)
+{
+    if (host.starts_with('[')) {
+        return host.substr(0, host.find(']') + 1);
+    }
+    return host.substr(0, host.find(':'));
+}
+
+/// Takes the fields of one head one after the other.
+class HeadParser
+{
+public:
+    Result<void> takeLine(std::string_view line)
+    {
+        const size_t colon = line.find(':');
+        if (colon == std::string_view::npos || !isToken(line.substr(0, colon))) {
+            return fail(Code::BadRequest, "a header line has no valid field name");
+        }
+        const std::string_view value = trimmed(line.substr(colon + 1));
+        if (!std::all_of(value.begin(), value.end(), isValueChar)) {
+            return fail(Code::BadRequest, "a header value holds a control character");
+        }
+        return takeField(line.substr(0, colon), value);
+    }
+
+    Result<RequestHead> finish()
+    {
+        const bool old = head.line.ends_with("HTTP/1.0");
+        if (m_hosts > 1 || (m_hosts == 0 && !old)) {
+            return fail(Code::BadRequest, "exactly one Host field is needed");
+        }
+        if (m_chunked && (m_sized || old)) {
+            return fail(Code::BadRequest, "Transfer-Encoding beside Content-Length or in HTTP/1.0");
+        }
+        if (m_chunked) {
+            head.bodyKind = BodyKind::Chunked;
+        } else if (head.bodyBytes > 0) {
+            head.bodyKind = BodyKind::Sized;
+        }
+        std::erase_if(head.fields, [this](const HeaderField &n) { return isNamed(n.name) || isHopByHop(n.name); });
+        return std::move(head);
+    }
+
+    RequestHead head;
+
+private:
+    Result<void> takeField(std::string_view name, std::string_view value)
+    {
+        if (sameHeaderName(name, "Content-Length")) {
+            return takeLength(value);
+        }
+        if (sameHeaderName(name, "Transfer-Encoding")) {
+            return takeEncoding(value);
+        }
+        if (sameHeaderName(name, "Expect")) {
+            head.expectsContinue = sameHeaderName(value, "100-continue");
+            return {};
+        }
+        if (sameHeaderName(name, "Connection")) {
+            takeConnection(value);
+        }
+        if (sameHeaderName(name, "Host")) {
+            ++m_hosts;
+            head.host = lowered(withoutPort(value));
+        }
+        head.fields.push_back({std::string(name), std::string(value)});
+        return {};
+    }
+
+    Result<void> takeLength(std::string_view value)
+    {
+        const bool digits = !value.empty() && value.size() <= MaxLengthDigits
+                            && std::all_of(value.begin(), value.end(), [](char c) { return c >= '0' && c <= '9'; });
+        if (m_sized || !digits) {
+            return fail(Code::BadRequest, "Content-Length stands twice or is not a whole number");
+        }
+        m_sized = true;
+        std::from_chars(value.data(), value.data() + value.size(), head.bodyBytes);
+        return {};
+    }
+
+    Result<void> takeEncoding(std::string_view value)
+    {
+        if (m_chunked || !sameHeaderName(value, "chunked")) {
+            return fail(Code::BadRequest, "the only Transfer-Encoding taken is chunked, once");
+        }
+        m_chunked = true;
+        return {};
+    }
+
+    void takeConnection(std::string_view value)
+    {
+        while (!value.empty()) {
+            const size_t end = std::min(value.find(','), value.size());
+            const std::string_view option = trimmed(value.substr(0, end));
+            head.close = head.close || sameHeaderName(option, "close");
+            head.keepAlive = head.keepAlive || sameHeaderName(option, "keep-alive");
+            m_named.emplace_back(option);
+            value.remove_prefix(std::min(end + 1, value.size()));
+        }
+    }
+
+    bool isNamed(std::string_view name) const
+    {
+        return !sameHeaderName(name, "Host") && std::any_of(m_named.begin(), m_named.end(), [name](std::string_view n) {
+            return sameHeaderName(n, name);
+        });
+    }
+
+    std::vector<std::string> m_named; // by the Connection field
+    int m_hosts = 0;
+    bool m_sized = false;
+    bool m_chunked = false;
+};
+
+} // namespace
+
+Result<std::optional<size_t>> findHeadEnd(std::string_view bytes, size_t &from)
+{
+    size_t at = bytes.find('\n', from);
+    while (at != std::string_view::npos) {
+        if (at == 0 || bytes[at - 1] != '\r') {
+            return fail(Code::BadRequest, "lines end with carriage return and line feed");
+        }
+        if (at >= 3 && bytes[at - 2] == '\n') {
+            return at + 1;
+        }
+        from = at + 1;
+        at = bytes.find('\n', from);
+    }
+    from = bytes.size();
+    return std::nullopt;
+}
+
+Result<RequestHead> parseHead(std::string_view head)
+{
+    HeadParser parser;
+    size_t end = head.find(LineEnd);
+    const std::string_view line = head.substr(0, end);
+    if (line.empty() || !std::all_of(line.begin(), line.end(), isLineChar)) {
+        return fail(Code::BadRequest, "the request line is empty or holds bytes outside ASCII");
+    }
+    parser.head.line = line;
+    head.remove_prefix(end + LineEnd.size());
+    while (!head.starts_with(LineEnd)) {
+        end = head.find(LineEnd);
+        if (end == std::string_view::npos) {
+            return fail(Code::BadRequest, "the header does not end");
+        }
+        const auto taken = parser.takeLine(head.substr(0, end));
+        if (!taken) {
+            return tl::make_unexpected(taken.error());
+        }
+        head.remove_prefix(end + LineEnd.size());
+    }
+    return parser.finish();
+}
+
+bool isHopByHop(std::string_view name)
+{
+    return std::any_of(HopByHop.begin(), HopByHop.end(),
+                       [name](std::string_view n) { return sameHeaderName(n, name); });
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/front/poller.cpp
@@ -0,0 +1,235 @@
+#include "front/state.h"
+
+#include "base/log.h"
+#include "front/translate.h"
+
+#include <array>
+
+namespace damask {
+
+namespace {
+
+constexpr uint64_t ListenerId = 1;                        // of the listening socket among the events
+constexpr size_t EventsAtOnce = 256;                      // taken from the system in one wait
+constexpr size_t MaxRefusedAtOnce = 64;                   // connections above the limit that still get an answer
+constexpr Duration FreshGrace = std::chrono::seconds(1);  // for the first request of a new connection at a stop
+constexpr Duration AcceptPause = std::chrono::seconds(1); // before accepting again when descriptors ran out
+
+} // namespace
+
+void FrontServer::State::poll()
+{
+    std::array<epoll_event, EventsAtOnce> buf{};
+    while (!done) {
+        const auto given = events.wait(buf);
+        wakeUps.Increment();
+        ++wakeUpCount;
+        for (const epoll_event &it : given) {
+            onEvent(it);
+        }
+    }
+}
+
+void FrontServer::State::onEvent(const epoll_event &event)
+{
+    if (event.data.u64 == EventPoll::WakeId) {
+        onWake();
+        return;
+    }
+    if (event.data.u64 == ListenerId) {
+        acceptAll();
+        return;
+    }
+    Phase phase = Phase::Reading;
+    const ConnectionPtr it = find(event.data.u64, phase);
+    if (!it) {
+        return;
+    }
+    switch (phase) {
+    case Phase::Reading:
+        onReadable(it);
+        break;
+    case Phase::Writing:
+        drive(it);
+        break;
+    case Phase::Lingering:
+        onLingering(it);
+        break;
+    case Phase::Serving:
+        break; // find() has cancelled its call
+    }
+}
+
+void FrontServer::State::onWake()
+{
+    for (const uint64_t id : timer.takeExpired()) {
+        onExpired(id);
+    }
+    bool stop = false;
+    {
+        LockGuard lock(mutex);
+        stop = stopping;
+    }
+    if (!stop) {
+        return;
+    }
+    if (listener.valid()) {
+        acceptAll();
+        events.remove(listener.get());
+        listener.reset();
+        timer.set(ListenerId, Never);
+        closeIdle();
+        LockGuard lock(mutex);
+        listening = false;
+        changed.notifyAll();
+    }
+}
+
+void FrontServer::State::onExpired(uint64_t id)
+{
+    if (id == ListenerId) {
+        acceptAll();
+        return;
+    }
+    ConnectionPtr it;
+    Phase phase = Phase::Serving;
+    {
+        LockGuard lock(mutex);
+        const auto found = connections.find(id);
+        if (found == connections.end()) {
+            return;
+        }
+        it = found->second;
+        phase = it->phase;
+    }
+    if (phase == Phase::Serving || it->deadline > clock.now()) {
+        return;
+    }
+    it->deadline = Never;
+    if (phase == Phase::Reading && !it->reader.idle()) {
+        refuseAndClose(*it, {Code::SlowSender, "the whole request did not come in time"});
+        drive(it);
+    } else if (phase == Phase::Reading) {
+        if (!hasInput(it->socket.get())) {
+            linger(it);
+        }
+    } else {
+        close(it);
+    }
+}
+
+void FrontServer::State::onReadable(const ConnectionPtr &it)
+{
+    const Transfer got = receiveInto(it->socket.get(), readBuffer);
+    if (got.end == TransferEnd::Closed) {
+        close(it);
+        return;
+    }
+    if (got.end == TransferEnd::Moved) {
+        if (it->firstByteAt == Never) {
+            it->firstByteAt = clock.now();
+        }
+        it->reader.append(std::string_view(readBuffer.data(), got.bytes));
+    }
+    drive(it);
+}
+
+void FrontServer::State::onLingering(const ConnectionPtr &it)
+{
+    const Transfer got = receiveInto(it->socket.get(), readBuffer);
+    if (got.end == TransferEnd::Closed) {
+        close(it);
+        return;
+    }
+    park(it, Phase::Lingering, EPOLLIN | EPOLLRDHUP);
+}
+
+void FrontServer::State::acceptAll()
+{
+    if (!listener.valid()) {
+        return;
+    }
+    while (true) {
+        AcceptResult accepted = acceptFrom(listener.get());
+        if (accepted.end == AcceptEnd::Accepted) {
+            takeConnection(std::move(accepted));
+            continue;
+        }
+        if (accepted.end == AcceptEnd::NonePending) {
+            events.arm(listener.get(), ListenerId, EPOLLIN);
+            return;
+        }
+        countRefusal(Code::TooManyConnections);
+        logEvent(Severity::Error, "no-descriptors", {{"code", codeNumber(Code::SystemError)}});
+        timer.set(ListenerId, clock.now() + AcceptPause);
+        return;
+    }
+}
+
+void FrontServer::State::takeConnection(AcceptResult accepted)
+{
+    const uint64_t id = nextId++;
+    const auto it =
+        std::make_shared<Connection>(id, std::move(accepted.socket), std::move(accepted.peer), options.limits);
+    size_t open = 0;
+    {
+        LockGuard lock(mutex);
+        open = connections.size();
+        if (open < options.maxConnections + MaxRefusedAtOnce) {
+            connections.emplace(id, it);
+            openConnections.Set(static_cast<double>(connections.size()));
+        }
+    }
+    if (open >= options.maxConnections + MaxRefusedAtOnce || !events.add(it->socket.get(), id, 0)) {
+        countRefusal(Code::TooManyConnections);
+        close(it);
+        return;
+    }
+    if (open >= options.maxConnections) {
+        refuseAndClose(*it, {Code::TooManyConnections, "come back later, or to another entry"});
+    }
+    drive(it);
+}
+
+void FrontServer::State::closeIdle()
+{
+    std::vector<ConnectionPtr> idle;
+    {
+        LockGuard lock(mutex);
+        for (const auto &[id, it] : connections) {
+            if (it->phase == Phase::Reading && it->reader.idle()) {
+                idle.push_back(it);
+            }
+        }
+    }
+    for (const ConnectionPtr &it : idle) {
+        if (it->requests == 0) {
+            setDeadline(*it, clock.now() + FreshGrace); // its first request may be on the way
+        } else if (!hasInput(it->socket.get())) {
+            linger(it);
+        }
+    }
+}
+
+ConnectionPtr FrontServer::State::find(uint64_t id, Phase &phase)
+{
+    ConnectionPtr it;
+    std::shared_ptr<CancelToken> cancel;
+    {
+        LockGuard lock(mutex);
+        const auto found = connections.find(id);
+        if (found == connections.end()) {
+            return nullptr;
+        }
+        it = found->second;
+        phase = it->phase;
+        cancel = phase == Phase::Serving ? it->cancel : nullptr;
+    }
+    if (cancel) {
+        cancelled.Increment();
+        cancel->cancel();
+    }
+    return it;
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/front/server.cpp
@@ -0,0 +1,111 @@
+#include "front/server.h"
+
+#include "front/state.h"
+
+#include "base/check.h"
+
+#include <utility>
+
+namespace damask {
+
+namespace {
+
+constexpr size_t ReadBytes = 64 * 1024; // taken from a connection at once
+constexpr uint64_t ListenerId = 1;      // of the listening socket among the events
+
+} // namespace
+
+FrontServer::State::State(Clock &c, Metrics &m, const FrontOptions &o, CallHandler h)
+    : clock(c)
+    , metrics(m)
+    , options(o)
+    , handler(std::move(h))
+    , admission(o.admission)
+    , random(systemRandom())
+    , requests(m.counter("damask_front_requests_total"))
+    , wakeUps(m.counter("damask_front_poller_wakeups_total"))
+    , cancelled(m.counter("damask_front_cancelled_total"))
+    , openConnections(m.gauge("damask_front_connections"))
+    , readBuffer(ReadBytes)
+    , nextId(ListenerId + 1)
+    , changed(c)
+    , timer(c, [this] { events.wake(); })
+    , workers(c, {.name = "front-worker", .threads = o.admission.workers, .queueLimit = o.admission.workers})
+{
+}
+
+FrontServer::FrontServer(Clock &clock, Metrics &metrics, const FrontOptions &options, CallHandler handler)
+    : m_state(std::make_unique<State>(clock, metrics, options, std::move(handler)))
+{
+}
+
+FrontServer::~FrontServer()
+{
+    stop();
+}
+
+Result<void> FrontServer::start()
+{
+    State &state = *m_state;
+    auto listener = listenOn(state.options.address, state.options.port, state.options.backlog);
+    if (!listener) {
+        return tl::make_unexpected(listener.error());
+    }
+    state.port = boundPort(listener->get());
+    state.listener = std::move(*listener);
+    state.listening = true;
+    const bool added = state.events.add(state.listener.get(), ListenerId, EPOLLIN);
+    DAMASK_ASSERT(added, "raise the limit of open files: the listener can't be polled");
+    state.poller = Thread("front-poller", [&state] { state.poll(); });
+    return {};
+}
+
+void FrontServer::leave()
+{
+    m_state->leaving = true;
+}
+
+void FrontServer::stop()
+{
+    State &state = *m_state;
+    if (!state.poller.running()) {
+        return;
+    }
+    leave();
+    {
+        LockGuard lock(state.mutex);
+        state.stopping = true;
+    }
+    state.events.wake();
+    {
+        LockGuard lock(state.mutex);
+        while (state.listening || !state.connections.empty()) {
+            state.changed.wait(lock);
+        }
+    }
+    state.done = true;
+    state.events.wake();
+    state.poller.join();
+    state.workers.drain();
+}
+
+uint16_t FrontServer::port() const
+{
+    return m_state->port;
+}
+
+FrontStatus FrontServer::status() const
+{
+    FrontStatus out;
+    {
+        LockGuard lock(m_state->mutex);
+        out.connections = m_state->connections.size();
+    }
+    out.callsInFlight = m_state->admission.busy();
+    out.heldBytes = m_state->heldBytes;
+    out.pollerWakeUps = m_state->wakeUpCount;
+    out.workerTasks = m_state->taskCount;
+    return out;
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/front/state.h
@@ -0,0 +1,90 @@
+/// The front's inside: the table of connections, the poller and what workers do. Included by front/*.cpp only.
+#pragma once
+
+#include "base/random.h"
+#include "base/thread.h"
+#include "base/worker_pool.h"
+#include "front/connection.h"
+#include "front/deadline_timer.h"
+#include "front/event_poll.h"
+#include "front/exchange.h"
+#include "front/server.h"
+#include "front/socket.h"
+
+#include <atomic>
+#include <unordered_map>
+#include <vector>
+
+namespace damask {
+
+struct FrontServer::State {
+    State(Clock &clock, Metrics &metrics, const FrontOptions &options, CallHandler handler);
+
+    // poller.cpp: on the poller's thread
+    void poll();
+    void onEvent(const epoll_event &event);
+    void onWake();
+    void onExpired(uint64_t id);
+    void onReadable(const ConnectionPtr &it);
+    void onLingering(const ConnectionPtr &it);
+    void acceptAll();
+    void takeConnection(AcceptResult accepted);
+    void closeIdle();
+
+    // drive.cpp: on the thread whose the connection is
+    void      drive(const ConnectionPtr &it);
+    bool      flush(const ConnectionPtr &it);
+    void      linger(const ConnectionPtr &it);
+    void      parkForReading(const ConnectionPtr &it);
+    bool      park(const ConnectionPtr &it, Phase phase, uint32_t events);
+    void      close(const ConnectionPtr &it);
+    TimePoint readDeadline(const Connection &it) const;
+    void      setDeadline(Connection &it, TimePoint deadline);
+    void      account(Connection &it);
+
+    // calls.cpp: requests and answers
+    bool   startCall(const ConnectionPtr &it);
+    void   serve(const ConnectionPtr &it, CallRequest &call, CancelToken &cancel);
+    Answer answerCall(const CallRequest &call, CancelToken &cancel);
+    void   answerHere(Connection &it, std::string_view requestId, const Error &error);
+    void   refuseAndClose(Connection &it, const Error &error);
+    void   countRefusal(Code code);
+
+    ConnectionPtr find(uint64_t id, Phase &phase);
+
+    Clock       &clock;
+    Metrics     &metrics;
+    FrontOptions options;
+    CallHandler  handler;
+    HttpExchange exchange;
+    Admission    admission;
+    RandomSource random;
+
+    prometheus::Counter &requests;
+    prometheus::Counter &wakeUps;
+    prometheus::Counter &cancelled;
+    prometheus::Gauge   &openConnections;
+
+    EventPoll             events;
+    FileDescriptor        listener; // the poller's, after start()
+    uint16_t              port = 0;
+    std::vector<char>     readBuffer; // the poller's
+    uint64_t              nextId;     // the poller's
+    std::atomic<size_t>   heldBytes{0};
+    std::atomic<uint64_t> wakeUpCount{0};
+    std::atomic<uint64_t> taskCount{0};
+    std::atomic<bool>     leaving{false};
+    std::atomic<bool>     done{false};
+
+    mutable RankedMutex                         mutex{LockRank::Server};
+    Condition                                   changed; // a connection closed, or the listener
+    std::unordered_map<uint64_t, ConnectionPtr> connections;
+    bool                                        stopping = false;
+    bool                                        listening = false;
+
+    DeadlineTimer timer;
+    WorkerPool    workers;
+    Thread        poller; // last: it uses all of the above
+};
+
+} // namespace damask
--- /dev/null
+++ b/tests/fakes/fake_handler.h
@@ -0,0 +1,97 @@
+/// A handler for the front that records calls and can hold them until the test lets them go.
+#pragma once
+
+#include "base/clock.h"
+#include "base/lock.h"
+#include "call/cancel.h"
+#include "call/message.h"
+
+#include <vector>
+
+namespace damask {
+
+/// Echoes "METHOD PATH BODY". Calls to /hold... wait for release(); calls to /wait... wait for their cancellation.
+class FakeHandler
+{
+public:
+    explicit FakeHandler(Clock &clock)
+        : m_changed(clock)
+    {
+    }
+
+    Answer handle(const CallRequest &call, CancelToken &cancel)
+    {
+        {
+            LockGuard lock(m_mutex);
+            m_calls.push_back(call);
+            m_changed.notifyAll();
+            while (!m_released && call.path.starts_with("/hold")) {
+                m_changed.wait(lock);
+            }
+        }
+        if (call.path.starts_with("/wait")) {
+            waitForCancel(cancel);
+        }
+        Answer answer = next;
+        answer.body = call.method + " " + call.path + " " + call.body;
+        return answer;
+    }
+
+    void waitForCalls(size_t n)
+    {
+        LockGuard lock(m_mutex);
+        while (m_calls.size() < n) {
+            m_changed.wait(lock);
+        }
+    }
+
+    void waitForCancelled(size_t n)
+    {
+        LockGuard lock(m_mutex);
+        while (m_cancelled < n) {
+            m_changed.wait(lock);
+        }
+    }
+
+    void release()
+    {
+        LockGuard lock(m_mutex);
+        m_released = true;
+        m_changed.notifyAll();
+    }
+
+    std::vector<CallRequest> calls()
+    {
+        LockGuard lock(m_mutex);
+        return m_calls;
+    }
+
+    Answer next; // what is answered, but for the body; set before the first call
+
+private:
+    void waitForCancel(CancelToken &cancel)
+    {
+        bool           mine = false;
+        const uint64_t id = cancel.onCancel([this, &mine] {
+            LockGuard lock(m_mutex);
+            mine = true;
+            ++m_cancelled;
+            m_changed.notifyAll();
+        });
+        {
+            LockGuard lock(m_mutex);
+            while (!mine) {
+                m_changed.wait(lock);
+            }
+        }
+        cancel.forget(id);
+    }
+
+    RankedMutex              m_mutex{LockRank::Leaf};
+    Condition                m_changed;
+    std::vector<CallRequest> m_calls;
+    size_t                   m_cancelled = 0;
+    bool                     m_released = false;
+};
+
+} // namespace damask
