Add stand-ins of targets and the load tool

Change: damask-target hosts many targets over one worker pool, with faults switched over HTTP; damask-load sends an open-loop plan and holds the targets' ledgers against what each call was told. Its HTTP text is its own, because a library rightly refuses to truncate, stall and lie.

--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -282,6 +282,28 @@
     return parseList(value(section, key, SettingType::List));
 }
 
+Result<void> Settings::change(std::string_view assignment)
+{
+    const std::string_view name = assignment.substr(0, assignment.find('='));
+    const size_t dot = name.find('.');
+    if (name.size() == assignment.size() || dot == std::string_view::npos) {
+        return fail(Code::BadSettings, std::string(assignment) + ": needs section.key=value");
+    }
+    for (size_t n = 0; n < m_specs.size(); ++n) {
+        if (m_specs[n].section != name.substr(0, dot) || m_specs[n].key != name.substr(dot + 1)) {
+            continue;
+        }
+        const std::string_view given = assignment.substr(name.size() + 1);
+        const auto checked = checkValue(m_specs[n], given);
+        if (!checked) {
+            return fail(Code::BadSettings, std::string(assignment) + ": " + checked.error().detail);
+        }
+        m_values[n] = given;
+        return {};
+    }
+    return fail(Code::UnknownSetting, std::string(name) + ": no such setting; see --print-settings");
+}
+
 std::string Settings::print() const
 {
     std::string out;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -50,7 +50,8 @@
     size_t                   size(std::string_view section, std::string_view key) const; // bytes
     std::vector<std::string> list(std::string_view section, std::string_view key) const;
 
-    std::string print() const; // the whole effective settings as INI, with unit, range and default
+    Result<void> change(std::string_view assignment); // "section.key=value", as given on a command line
+    std::string  print() const; // the whole effective settings as INI, with unit, range and default
 
 private:
     const std::string &value(std::string_view section, std::string_view key, SettingType type) const;
--- a/src/startup/program.cpp
+++ b/src/startup/program.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <docopt/docopt.h>
 #include <iostream>
+#include <map>
 #include <vector>
 
 namespace damask {
@@ -25,6 +26,21 @@
     return it != arguments.end() && it->second.isBool() && it->second.asBool();
 }
 
+Result<void> changeSettings(const std::map<std::string, docopt::value> &arguments, Settings &settings)
+{
+    const auto it = arguments.find("--set");
+    if (it == arguments.end() || !it->second.isStringList()) {
+        return {};
+    }
+    for (const std::string &pair : it->second.asStringList()) {
+        const auto changed = settings.change(pair);
+        if (!changed) {
+            return changed;
+        }
+    }
+    return {};
+}
+
 sigset_t stopSignals()
 {
     sigset_t signals;
@@ -73,6 +89,10 @@
     if (!settings) {
         return refuse(options, settings.error());
     }
+    const auto changed = changeSettings(arguments, *settings);
+    if (!changed) {
+        return refuse(options, changed.error());
+    }
     if (optionFlag(arguments, "--print-settings")) {
         std::cout << settings->print();
         return {std::nullopt, ExitOk};
--- a/src/startup/program.h
+++ b/src/startup/program.h
@@ -5,7 +5,8 @@
 ///     if (!program.settings) { return program.exitCode; }
 ///     ... start ...
 ///     waitForStop();
-/// The usage text must offer --settings=FILE, --check, --print-settings, --version and --help.
+/// The usage text must offer --settings=FILE, --check, --print-settings, --version and
+/// --help; it may offer [--set=PAIR]... for section.key=value, which goes before the file.
 #pragma once
 
 #include "settings/settings.h"
--- /dev/null
+++ b/standins/damask-load/main.cpp
@@ -0,0 +1,149 @@
+/// damask-load: open-loop load, with each answer checked and the ledgers of the targets held against it.
+#include "base/log.h"
+#include "damask-load/runner.h"
+#include "settings/settings.h"
+#include "startup/program.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <iostream>
+
+using namespace damask;
+using namespace damask::standin;
+
+namespace {
+
+constexpr std::string_view Usage = R"(damask-load: sends load and judges what came of it.
+
+Usage:
+  damask-load [--settings=FILE] [--set=PAIR]... [--check | --print-settings]
+  damask-load --help | --version
+
+Options:
+  --settings=FILE   INI file with the settings.
+  --set=PAIR        One setting as section.key=value; goes before the file.
+  --check           Check the settings and exit.
+  --print-settings  Print every setting with unit, default and effective value, and exit.
+
+Exits with 1 when a call was lost, doubled, run although told not run, cut, or given another's answer.
+)";
+
+constexpr auto Specs = std::to_array<SettingSpec>({
+    {"load", "entries", SettingType::List, "127.0.0.1:8080", "IP:PORT of each entry."},
+    {"load", "straight", SettingType::Flag, "no", "The entries are targets; answers carry no outcome."},
+    {"load", "rate", SettingType::Fraction, "100", "Calls a second, on average.", 0.1, 1e6},
+    {"load", "length", SettingType::Interval, "5 s", "Length of the run.", 10, 3600000},
+    {"load", "deadline", SettingType::Interval, "2 s", "Deadline of each call; 0 ms: none told.", 0, 600000},
+    {"load", "workers", SettingType::Number, "64", "Calls in flight at most.", 1, 2000},
+    {"load", "seed", SettingType::Number, "1", "Seed of arrivals and mix.", 0, 1e15},
+    {"load", "burst-factor", SettingType::Fraction, "1", "Rate while bursting, times the mean.", 1, 10},
+    {"load", "burst-period", SettingType::Interval, "0 ms", "A burst takes the first tenth of each; 0: none.", 0, 1e6},
+    {"load", "run-name", SettingType::Text, "run", "Starts each request id; unique for each run on one bench."},
+    {"calls", "one", SettingType::Text, "GET - / 1", "METHOD HOST PATH WEIGHT [chain=N] [body=N]; host -: none."},
+    {"calls", "two", SettingType::Text, "", "A second kind of call."},
+    {"calls", "three", SettingType::Text, "", "A third kind of call."},
+    {"calls", "four", SettingType::Text, "", "A fourth kind of call."},
+    {"ledger", "targets", SettingType::List, "", "IP:PORT of the control port of each damask-target."},
+    {"report", "json", SettingType::Flag, "no", "One JSON object in place of the table."},
+    {"report", "progress", SettingType::Flag, "no", "A line on stderr each second."},
+});
+
+Result<std::vector<Endpoint>> readEndpoints(std::span<const std::string> words)
+{
+    std::vector<Endpoint> out;
+    for (const std::string &it : words) {
+        const size_t colon = it.find(':');
+        const auto port = parseNumber(colon == std::string::npos ? "" : it.substr(colon + 1));
+        if (!port || *port < 1 || *port > 65535) {
+            return fail(Code::BadSettings, it + ": needs IP:PORT");
+        }
+        out.push_back({it.substr(0, colon), static_cast<int>(*port)});
+    }
+    return out;
+}
+
+Result<PlanOptions> readPlan(const Settings &settings)
+{
+    PlanOptions out;
+    out.callsPerSecond = settings.fraction("load", "rate");
+    out.burstFactor = settings.fraction("load", "burst-factor");
+    out.burstPeriod = settings.interval("load", "burst-period");
+    out.seed = static_cast<uint64_t>(settings.number("load", "seed"));
+    for (const std::string_view key : {"one", "two", "three", "four"}) {
+        const std::string_view text = settings.text("calls", key);
+        if (text.empty()) {
+            continue;
+        }
+        auto kind = parseCallKind(text);
+        if (!kind) {
+            return fail(kind.error().code, "[calls] " + std::string(key) + ": " + kind.error().detail);
+        }
+        out.kinds.push_back(std::move(*kind));
+    }
+    return out;
+}
+
+Result<RunnerOptions> readRunner(const Settings &settings)
+{
+    RunnerOptions out;
+    auto entries = readEndpoints(settings.list("load", "entries"));
+    if (!entries || entries->empty()) {
+        return fail(Code::BadSettings, "[load] entries: " + (entries ? "name at least one" : entries.error().detail));
+    }
+    out.entries = std::move(*entries);
+    out.length = settings.interval("load", "length");
+    out.deadline = settings.interval("load", "deadline");
+    out.workers = static_cast<size_t>(settings.number("load", "workers"));
+    out.runName = settings.text("load", "run-name");
+    out.straight = settings.flag("load", "straight");
+    return out;
+}
+
+int refuse(const Error &error)
+{
+    std::cerr << "damask-load: " << error.detail << "\n";
+    return ExitSettings;
+}
+
+bool clean(const Judgement &judgement)
+{
+    return judgement.lost + judgement.doubled + judgement.notRunButRan + judgement.wrongAnswer + judgement.cut == 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto program = startProgram(argc, argv, {.name = "damask-load", .usage = Usage, .specs = Specs});
+    if (!program.settings) {
+        return program.exitCode;
+    }
+    const Settings &settings = *program.settings;
+    const auto plan = readPlan(settings);
+    const auto runner = readRunner(settings);
+    const auto ledgers = readEndpoints(settings.list("ledger", "targets"));
+    if (!plan || !runner || !ledgers) {
+        return refuse(!plan ? plan.error() : !runner ? runner.error() : ledgers.error());
+    }
+    Clock clock;
+    const TimePoint startedAt = clock.now();
+    const bool progress = settings.flag("report", "progress");
+    const std::vector<CallRecord> records = runLoad(clock, *runner, *plan, [&](uint64_t sent) {
+        if (progress) {
+            std::fprintf(stderr, "%.0f s, %llu calls sent\n", toSeconds(clock.now() - startedAt),
+                         static_cast<unsigned long long>(sent));
+        }
+    });
+    const Duration took = clock.now() - startedAt;
+    RunSummary summary = summarise(records);
+    Ledger ledger;
+    for (const Endpoint &it : *ledgers) {
+        readLedger(fetchText(it, "/ledger"), ledger);
+    }
+    if (!ledgers->empty()) {
+        summary.judgement = judge(records, ledger);
+    }
+    std::cout << (settings.flag("report", "json") ? summaryJson(summary, took) + "\n" : summaryTable(summary, took));
+    return clean(summary.judgement) ? ExitOk : ExitFailed;
+}
--- /dev/null
+++ b/standins/damask-load/record.cpp
@@ -0,0 +1,183 @@
+#include "damask-load/record.h"
+
+#include "settings/settings.h"
+
+#include <array>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace damask::standin {
+
+namespace {
+
+constexpr int Bins = 1850;        // about 1% each
+constexpr double LeastMs = 0.001; // 1 us
+constexpr double MostMs = 100000; // 100 s
+constexpr int FirstFailure = 300; // HTTP status from which a call counts as failed
+
+void note(Judgement &judgement, uint64_t &counter, const CallRecord &record, std::string_view what)
+{
+    ++counter;
+    if (judgement.firstFault.empty()) {
+        judgement.firstFault = record.id + ": " + std::string(what);
+    }
+}
+
+std::string row(std::string_view name, double value, std::string_view unit)
+{
+    std::array<char, 96> buf{};
+    std::snprintf(buf.data(), buf.size(), "  %-16s %12.3f %s\n", std::string(name).c_str(), value,
+                  std::string(unit).c_str());
+    return buf.data();
+}
+
+std::string countRows(std::string_view title, const std::map<std::string, uint64_t> &counts)
+{
+    std::string out = std::string(title) + "\n";
+    for (const auto &[name, count] : counts) {
+        std::array<char, 128> buf{};
+        std::snprintf(buf.data(), buf.size(), "  %-28s %10llu\n", name.c_str(), static_cast<unsigned long long>(count));
+        out += buf.data();
+    }
+    return out;
+}
+
+} // namespace
+
+LatencyHistogram::LatencyHistogram()
+    : m_bins(boost::histogram::make_histogram(Axis(Bins, LeastMs, MostMs)))
+{
+}
+
+void LatencyHistogram::add(Duration latency)
+{
+    m_bins(std::max(toMilliseconds(latency), LeastMs));
+    ++m_count;
+}
+
+double LatencyHistogram::percentile(double share) const
+{
+    const double wanted = share * static_cast<double>(m_count);
+    double seen = 0;
+    for (int n = 0; n < Bins; ++n) {
+        seen += m_bins.at(n);
+        if (seen >= wanted && seen > 0) {
+            return m_bins.axis(0).bin(n).upper();
+        }
+    }
+    return m_count == 0 ? 0 : MostMs;
+}
+
+uint64_t LatencyHistogram::count() const
+{
+    return m_count;
+}
+
+void readLedger(std::string_view text, Ledger &ledger)
+{
+    while (!text.empty()) {
+        const size_t end = std::min(text.find('\n'), text.size());
+        const std::string_view line = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        const size_t space = line.rfind(' ');
+        if (space != std::string_view::npos) {
+            ledger[std::string(line.substr(0, space))] +=
+                static_cast<int>(parseNumber(line.substr(space + 1)).value_or(0));
+        }
+    }
+}
+
+Judgement judge(std::span<const CallRecord> records, const Ledger &ledger)
+{
+    Judgement out;
+    for (const CallRecord &it : records) {
+        const auto entry = ledger.find(it.id);
+        const int ran = entry == ledger.end() ? 0 : entry->second;
+        const bool told = it.answered && it.status < FirstFailure;
+        if (!it.answered) {
+            note(out, out.cut, it, "no answer came");
+        }
+        if (it.answered && !it.own) {
+            note(out, out.wrongAnswer, it, "the answer is not to this call");
+        }
+        if (!it.idempotent && told && ran == 0) {
+            note(out, out.lost, it, "answered, but never run");
+        }
+        if (!it.idempotent && ran > 1) {
+            note(out, out.doubled, it, "run more than once");
+        }
+        if (it.answered && it.outcome == Outcome::NotRun && ran > 0) {
+            note(out, out.notRunButRan, it, "told not run, but it ran");
+        }
+    }
+    return out;
+}
+
+RunSummary summarise(std::span<const CallRecord> records)
+{
+    RunSummary out;
+    for (const CallRecord &it : records) {
+        ++out.calls;
+        ++out.outcomes[it.answered ? std::string(outcomeName(it.outcome)) : "no answer"];
+        ++out.codes[it.code.empty() ? "none told" : it.code];
+        if (it.answered) {
+            out.all.add(it.latency);
+        }
+        if (it.answered && it.status < FirstFailure) {
+            ++out.succeeded;
+            out.good.add(it.latency);
+            ++out.targets[it.target];
+        } else {
+            out.lastBad = std::max(out.lastBad, toSeconds(it.at));
+        }
+    }
+    return out;
+}
+
+std::string summaryTable(const RunSummary &summary, Duration took)
+{
+    const Judgement &judgement = summary.judgement;
+    std::string out = "calls\n";
+    out += row("sent", static_cast<double>(summary.calls), "calls");
+    out += row("succeeded", static_cast<double>(summary.succeeded), "calls");
+    out += row("rate", static_cast<double>(summary.calls) / toSeconds(took), "calls/s");
+    out += row("p50", summary.good.percentile(0.5), "ms");
+    out += row("p99", summary.good.percentile(0.99), "ms");
+    out += row("p99.9", summary.good.percentile(0.999), "ms");
+    out += countRows("outcomes", summary.outcomes);
+    out += countRows("result codes", summary.codes);
+    out += countRows("answered by", summary.targets);
+    out += countRows("must be zero", {{"lost", judgement.lost},
+                                      {"doubled", judgement.doubled},
+                                      {"told not run, but ran", judgement.notRunButRan},
+                                      {"wrong answer", judgement.wrongAnswer},
+                                      {"cut", judgement.cut}});
+    if (!judgement.firstFault.empty()) {
+        out += "first fault: " + judgement.firstFault + "\n";
+    }
+    return out;
+}
+
+std::string summaryJson(const RunSummary &summary, Duration took)
+{
+    const Judgement &judgement = summary.judgement;
+    const nlohmann::json out{{"calls", summary.calls},
+                             {"succeeded", summary.succeeded},
+                             {"seconds", toSeconds(took)},
+                             {"p50", summary.good.percentile(0.5)},
+                             {"p99", summary.good.percentile(0.99)},
+                             {"p999", summary.good.percentile(0.999)},
+                             {"outcomes", summary.outcomes},
+                             {"codes", summary.codes},
+                             {"targets", summary.targets},
+                             {"lost", judgement.lost},
+                             {"doubled", judgement.doubled},
+                             {"not_run_but_ran", judgement.notRunButRan},
+                             {"wrong_answer", judgement.wrongAnswer},
+                             {"cut", judgement.cut},
+                             {"last_bad_s", summary.lastBad},
+                             {"first_fault", judgement.firstFault}};
+    return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace damask::standin
--- /dev/null
+++ b/standins/damask-target/server.h
@@ -0,0 +1,89 @@
+/// Many targets in one process: connections parked in epoll, a pool of workers, one thread that ends requests
+/// when their service time is over.
+///
+/// Pitfall: a stand-in for tests and benches; it trusts whoever connects.
+#pragma once
+
+#include "base/clock.h"
+#include "base/scope.h"
+#include "base/thread.h"
+#include "base/worker_pool.h"
+#include "common/http_text.h"
+#include "damask-target/model.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace damask::standin {
+
+struct TargetServerOptions {
+    std::string   address = "127.0.0.1"; // IP number
+    uint16_t      firstPort = 8001;      // TCP; each target takes the next
+    std::string   namePrefix = "t";      // names are PREFIX1, PREFIX2, ...
+    int           count = 1;             // targets
+    size_t        threads = 2;           // workers
+    uint64_t      seed = 1;              // of service times
+    TargetOptions target;                // for each
+};
+
+/// Makes a further call for a request that asks for one; returns the status of its answer. Blocks.
+using CallOn = std::function<int(const HttpRequest &request)>;
+
+class TargetServer
+{
+public:
+    TargetServer(Clock &clock, const TargetServerOptions &options, CallOn callOn);
+    ~TargetServer();
+
+    Result<void> start(); // SystemError when a port can't be had
+    void         stop();  // answers what is in flight, then closes
+
+    bool        setFaults(std::string_view name, const std::function<void(TargetFaults &)> &change); // "*": all
+    void        crash(std::string_view name); // drops its connections and whatever it holds
+    std::string ledgerText() const;           // one "id times" line for each request id
+    std::string statusText() const;           // JSON: load, counts and faults of each target
+
+private:
+    struct Hosted;
+    struct Connection;
+    using ConnectionPtr = std::shared_ptr<Connection>;
+
+    void poll();
+    void accept(Hosted &hosted);
+    void park(const ConnectionPtr &connection);
+    void armParked(const Hosted &hosted); // under the lock
+    void close(const ConnectionPtr &connection);
+    void serve(const ConnectionPtr &connection);
+    void serveNext(const ConnectionPtr &connection);
+    void take(const ConnectionPtr &connection, HttpRequest request);
+    void hold(const ConnectionPtr &connection, const HttpRequest &request);
+    void answer(const ConnectionPtr &connection, const TargetAnswer &content, std::string_view requestId);
+    void write(const ConnectionPtr &connection, std::string_view text);
+    void hangUp(Connection &connection); // under the lock
+    void endDue();
+    void run(std::vector<DueAnswer> &due);
+
+    Clock                               &m_clock;
+    TargetServerOptions                  m_options;
+    CallOn                               m_callOn;
+    mutable RankedMutex                  m_mutex{LockRank::Route}; // models, connections, stop flag
+    Condition                            m_wake;                   // a request started or the server stops
+    std::vector<std::unique_ptr<Hosted>> m_hosted;
+    std::map<uint64_t, ConnectionPtr>    m_connections;              // by id
+    uint64_t                             m_nextConnection = 1000000; // ids below are listeners
+    uint64_t                             m_nextCall = 1;
+    int                                  m_inFlight = 0;
+    bool                                 m_stopping = false;
+    FileDescriptor                       m_epoll;
+    FileDescriptor                       m_stopEvent;
+    std::unique_ptr<WorkerPool>          m_pool;
+    std::unique_ptr<WorkerPool>          m_callOnPool;
+    Thread                               m_poller;
+    Thread                               m_timer;
+};
+
+} // namespace damask::standin
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -56,3 +56,14 @@
     cr_assert(again.has_value());
     cr_assert(again->print() == settings->print());
 }
+
+Test(settings, a_change_from_the_command_line_is_checked_as_the_file_is)
+{
+    auto settings = Settings::load("[member]\nname = e1\n", "a.ini", Specs);
+    cr_assert(settings->change("front.port=9000").has_value());
+    cr_assert(settings->number("front", "port") == 9000);
+    cr_assert(settings->change("front.port=0").error().code == Code::BadSettings);
+    cr_assert(settings->change("front.prt=1").error().code == Code::UnknownSetting);
+    cr_assert(settings->change("port").error().code == Code::BadSettings);
+    cr_assert(settings->number("front", "port") == 9000);
+}
