--- /dev/null
+++ b/scripts/lib/damaskbench.py
@@ -0,0 +1,166 @@
+"""Starts a small damaskflow of real processes on loopback, steers its faults and stops just what it started."""
+
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+BIN = ROOT / os.environ.get("DAMASK_BUILD", "build") / "bin"
+STOP_SECONDS = 30  # a graceful stop that takes longer is a failure
+START_SECONDS = 20
+
+
+def http(method, port, path, body=None, token="", timeout=10):
+    """One request to a port on loopback; gives (status, text), status 0 when there was no answer."""
+    request = urllib.request.Request(f"http://127.0.0.1:{port}{path}", method=method,
+                                     data=body.encode() if body is not None else (b"" if method == "POST" else None))
+    if token:
+        request.add_header("Authorization", f"Bearer {token}")
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, answer.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read().decode()
+    except (OSError, urllib.error.URLError):
+        return 0, ""
+
+
+def ini(sections):
+    """INI text from {section: {key: value}}."""
+    out = []
+    for section, values in sections.items():
+        out.append(f"[{section}]")
+        out += [f"{key} = {value}" for key, value in values.items()]
+        out.append("")
+    return "\n".join(out)
+
+
+class Process:
+    """One program of ours with its settings, log and identity."""
+
+    def __init__(self, bench, name, program, sections):
+        self.bench, self.name, self.program = bench, name, program
+        self.settings = bench.folder / f"{name}.ini"
+        self.settings.write_text(ini(sections))
+        self.log = bench.folder / f"{name}.log"
+        self.popen = None
+
+    def start(self):
+        with self.log.open("ab") as log:
+            self.popen = subprocess.Popen([str(BIN / self.program), f"--settings={self.settings}"], stderr=log,
+                                          stdout=log, stdin=subprocess.DEVNULL)
+        return self
+
+    def alive(self):
+        return self.popen is not None and self.popen.poll() is None
+
+    def signal(self, number):
+        if self.alive():
+            self.popen.send_signal(number)
+
+    def stop(self):
+        """Asks for a graceful stop; gives the exit code, or None when it had to be killed."""
+        if not self.alive():
+            return self.popen.returncode if self.popen else 0
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            return self.popen.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return None
+
+    def kill(self):
+        if self.alive():
+            self.popen.kill()
+            self.popen.wait()
+
+    def usage(self):
+        """(processor seconds, resident MB) of the running process."""
+        stat = pathlib.Path(f"/proc/{self.popen.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        ticks = int(stat[11]) + int(stat[12])
+        pages = int(pathlib.Path(f"/proc/{self.popen.pid}/statm").read_text().split()[1])
+        return ticks / os.sysconf("SC_CLK_TCK"), pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+class Bench:
+    """A folder of settings and logs, a range of ports, and the processes started in it."""
+
+    def __init__(self, base_port=20000, keep=False):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="damask-"))
+        self.next_port = base_port
+        self.processes = {}
+        self.keep = keep
+        self.failures = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, error, trace):
+        self.stop_all()
+        if kind is None and not self.failures and not self.keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
+        else:
+            print(f"logs are in {self.folder}", flush=True)
+
+    def port(self, count=1):
+        first = self.next_port
+        self.next_port += count
+        return first
+
+    def start(self, name, program, sections):
+        process = Process(self, name, program, sections)
+        self.processes[name] = process
+        return process.start()
+
+    def wait(self, what, ready, seconds=START_SECONDS):
+        """Asks ready() until it is true; names what was waited for when it never is."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            if ready():
+                return
+            time.sleep(0.02)
+        self.failures.append(what)
+        raise RuntimeError(f"waited {seconds} s in vain for {what}; logs are in {self.folder}")
+
+    def wait_ready(self, name, port, path="/ready"):
+        def ready():
+            if not self.processes[name].alive():
+                raise RuntimeError(f"{name} ended: {self.processes[name].log.read_text()[-2000:]}")
+            return http("GET", port, path)[0] == 200
+        self.wait(f"{name} to be ready", ready)
+
+    def stop_all(self):
+        """Entries first, so that what they hold can finish; then the rest."""
+        order = sorted(self.processes, key=lambda name: (not name.startswith("entry"), not name.startswith("keeper"),
+                                                         name.startswith("store")))
+        for name in order:
+            self.processes[name].stop()
+
+    def load(self, sections, wait=True):
+        """Runs damask-load; gives its JSON summary, or the Popen when wait is false."""
+        sections.setdefault("report", {})["json"] = "yes"
+        name = f"load{len(list(self.folder.glob('load*.ini')))}"
+        path = self.folder / f"{name}.ini"
+        path.write_text(ini(sections))
+        popen = subprocess.Popen([str(BIN / "damask-load"), f"--settings={path}"], stdout=subprocess.PIPE,
+                                 stderr=(self.folder / f"{name}.log").open("wb"), text=True)
+        return self.load_result(popen) if wait else popen
+
+    def load_result(self, popen):
+        out, _ = popen.communicate()
+        if not out.startswith("{"):
+            raise RuntimeError(f"damask-load failed with {popen.returncode}: {out}; logs are in {self.folder}")
+        return json.loads(out)
+
+
+def figure(case, name, value, unit, **labels):
+    """Prints one figure as a JSON line."""
+    print(json.dumps({"case": case, "figure": name, "unit": unit, "value": value, **labels}), flush=True)
--- a/standins/damask-target/model.cpp
+++ b/standins/damask-target/model.cpp
@@ -88,7 +88,7 @@
     LoadReport out;
     out.slots = m_options.slots;
     out.draining = faults.draining && !faults.hideDrain;
-    out.inFlight = load;
+    out.inFlight = m_history.front().second; // what is older than all that is known counts as the oldest
     for (const auto &[at, then] : m_history) {
         if (at <= now - faults.loadLag) {
             out.inFlight = then;
