Grant permits from a shared table: late binding, health, budgets and all policies

Cause: the whole path needs the balancer. Change: one ranked lock for each service over a pure table; an aged estimate of all entries' calls; bounded queue with deadlines and shares of callers; ejection of a third at most with idempotent trials; slow start; bytes across regions from an asserted budget; our policy, six baselines and the oracle behind one hook. acquireLater() and runWaits() are the form that does not block, and acquire() is built on it.

--- /dev/null
+++ b/src/route/balancer.cpp
@@ -0,0 +1,393 @@
+#include "route/balancer.h"
+
+#include "base/check.h"
+#include "route/service_table.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <map>
+#include <optional>
+
+namespace damask {
+
+namespace {
+
+constexpr std::array RefusalCodes{Code::NoSuchService, Code::NoTarget,         Code::QueueFull,
+                                  Code::QueueTimeout,  Code::DeadlineTooShort, Code::FairShareExceeded,
+                                  Code::Cancelled,     Code::NoConfiguration};
+
+/// The counters of one service; found once, so that a call looks nothing up.
+struct ServiceCounters {
+    prometheus::Counter &granted;
+    prometheus::Counter &waited;
+    std::array<prometheus::Counter *, RefusalCodes.size()> refused{};
+
+    ServiceCounters(Metrics &metrics, std::string_view service)
+        : granted(metrics.counter("damask_permits_total", {{"service", service}}))
+        , waited(metrics.counter("damask_waits_total", {{"service", service}}))
+    {
+        for (size_t n = 0; n < RefusalCodes.size(); ++n) {
+            const std::string_view code = codeName(RefusalCodes[n]);
+            refused[n] = &metrics.counter("damask_acquire_refusals_total", {{"service", service}, {"code", code}});
+        }
+    }
+    void countRefusal(Code code) const
+    {
+        const auto it = std::find(RefusalCodes.begin(), RefusalCodes.end(), code);
+        if (it != RefusalCodes.end()) {
+            refused[static_cast<size_t>(it - RefusalCodes.begin())]->Increment();
+        }
+    }
+};
+
+/// One service: its table under its own lock.
+struct SharedTable {
+    mutable RankedMutex mutex{LockRank::Route};
+    ServiceTable table;
+    ServiceCounters counters;
+
+    SharedTable(const BalancerOptions &options, const BalancerHooks &hooks, Metrics &metrics, std::string_view name,
+                TimePoint now)
+        : table(options, hooks, name, now)
+        , counters(metrics, name)
+    {
+    }
+};
+
+using TablePointer = std::shared_ptr<SharedTable>;
+
+/// A service that a configuration names, or that it no longer names (none).
+struct ServiceChange {
+    TablePointer shared;
+    const Service *service = nullptr;
+};
+
+/// A thread that waits in acquire() for its hook to run.
+struct BlockedCall {
+    RankedMutex mutex{LockRank::Route};
+    Condition decided;
+    std::optional<Result<Permit>> result;
+
+    explicit BlockedCall(Clock &clock)
+        : decided(clock)
+    {
+    }
+    void decide(Result<Permit> given)
+    {
+        LockGuard lock(mutex);
+        result = std::move(given);
+        decided.notifyAll();
+    }
+};
+
+} // namespace
+
+struct Balancer::State {
+    Clock &clock;
+    Metrics &metrics;
+    BalancerOptions options;
+    BalancerHooks hooks;
+    mutable RankedMutex mutex{LockRank::Route}; // of the map; no table is locked under it
+    std::map<std::string, TablePointer, std::less<>> tables;
+    uint64_t revision = 0;
+    std::atomic<int> inFlight{0};
+    std::atomic<uint64_t> nextWaiting{1};
+
+    TablePointer find(std::string_view service) const;
+    std::vector<ServiceChange> changesOf(const Configuration &configuration, TimePoint now);
+    std::vector<TablePointer> all() const;
+    Result<Permit> tryAcquire(SharedTable &shared, const AcquireRequest &request, bool &full);
+    uint64_t enqueue(SharedTable &shared, const AcquireRequest &request, GrantHook granted);
+    TimePoint runWaits(SharedTable &shared);
+    void giveUp(SharedTable &shared, uint64_t waiting);
+    void awaitDecision(SharedTable &shared, BlockedCall &blocked);
+    void deliver(const SharedTable &shared, std::span<Decided> decided);
+};
+
+std::vector<ServiceChange> Balancer::State::changesOf(const Configuration &configuration, TimePoint now)
+{
+    std::vector<ServiceChange> changes;
+    LockGuard lock(mutex);
+    DAMASK_ASSERT(configuration.revision >= revision, "a configuration in force never reverts");
+    revision = configuration.revision;
+    for (const Service &it : configuration.services) {
+        TablePointer &table = tables[it.name];
+        if (!table) {
+            table = std::make_shared<SharedTable>(options, hooks, metrics, it.name, now);
+        }
+        changes.push_back({table, &it});
+    }
+    // A table whose service is gone stays: its permits may still be out.
+    for (const auto &it : tables) {
+        const auto &all = configuration.services;
+        if (std::none_of(all.begin(), all.end(), [&](const Service &n) { return n.name == it.first; })) {
+            changes.push_back({it.second, nullptr});
+        }
+    }
+    return changes;
+}
+
+TablePointer Balancer::State::find(std::string_view service) const
+{
+    LockGuard lock(mutex);
+    const auto it = tables.find(service);
+    return it == tables.end() ? nullptr : it->second;
+}
+
+std::vector<TablePointer> Balancer::State::all() const
+{
+    LockGuard lock(mutex);
+    std::vector<TablePointer> out;
+    for (const auto &[name, table] : tables) {
+        out.push_back(table);
+    }
+    return out;
+}
+
+Result<Permit> Balancer::State::tryAcquire(SharedTable &shared, const AcquireRequest &request, bool &full)
+{
+    LockGuard lock(shared.mutex);
+    const TimePoint now = clock.now();
+    const Code admitted = shared.table.admit(request, now);
+    if (admitted != Code::Ok) {
+        return fail(admitted);
+    }
+    full = !shared.table.queue().empty();
+    if (full) {
+        return fail(Code::QueueFull);
+    }
+    const Choice choice = shared.table.choose(request, now, Duration(0));
+    if (choice.target != nullptr) {
+        inFlight.fetch_add(1, std::memory_order_relaxed);
+        const uint32_t caller = CallerShares::bucket(request.caller);
+        return shared.table.grant(*choice.target, request, caller, now, Duration(0));
+    }
+    full = choice.code == Code::Ok;
+    return fail(full ? Code::QueueFull : choice.code);
+}
+
+uint64_t Balancer::State::enqueue(SharedTable &shared, const AcquireRequest &request, GrantHook granted)
+{
+    std::vector<Decided> decided;
+    const uint64_t id = nextWaiting.fetch_add(1, std::memory_order_relaxed);
+    Code code = Code::Ok;
+    {
+        LockGuard lock(shared.mutex);
+        const TimePoint now = clock.now();
+        code = shared.table.wait(request, id, granted, now, decided);
+        shared.table.runWaits(now, decided);
+    }
+    shared.counters.waited.Increment();
+    if (code != Code::Ok) {
+        decided.push_back({std::move(granted), fail(code)});
+    }
+    deliver(shared, decided);
+    return id;
+}
+
+TimePoint Balancer::State::runWaits(SharedTable &shared)
+{
+    std::vector<Decided> decided;
+    TimePoint next = Never;
+    {
+        LockGuard lock(shared.mutex);
+        next = shared.table.runWaits(clock.now(), decided);
+    }
+    deliver(shared, decided);
+    return next;
+}
+
+void Balancer::State::giveUp(SharedTable &shared, uint64_t waiting)
+{
+    std::vector<Decided> decided;
+    {
+        LockGuard lock(shared.mutex);
+        shared.table.cancel(waiting, decided);
+    }
+    deliver(shared, decided);
+}
+
+void Balancer::State::awaitDecision(SharedTable &shared, BlockedCall &blocked)
+{
+    while (true) {
+        const TimePoint next = runWaits(shared);
+        LockGuard lock(blocked.mutex);
+        if (!blocked.result) {
+            blocked.decided.waitUntil(lock, next);
+        }
+        if (blocked.result) {
+            return;
+        }
+    }
+}
+
+void Balancer::State::deliver(const SharedTable &shared, std::span<Decided> decided)
+{
+    for (Decided &it : decided) {
+        if (it.result) {
+            inFlight.fetch_add(1, std::memory_order_relaxed);
+            shared.counters.granted.Increment();
+        } else {
+            shared.counters.countRefusal(it.result.error().code);
+        }
+        it.granted(std::move(it.result));
+    }
+}
+
+Balancer::Balancer(Clock &clock, Metrics &metrics, const BalancerOptions &options, BalancerHooks hooks)
+    : m_state(new State{clock, metrics, options, std::move(hooks)})
+{
+    if (!m_state->hooks.pick) {
+        m_state->hooks.pick = damaskPolicy();
+    }
+    if (!m_state->hooks.random) {
+        m_state->hooks.random = systemRandom();
+    }
+}
+
+Balancer::~Balancer() = default;
+
+void Balancer::apply(std::shared_ptr<const Configuration> configuration)
+{
+    const TimePoint now = m_state->clock.now();
+    for (const ServiceChange &it : m_state->changesOf(*configuration, now)) {
+        std::vector<Decided> decided;
+        {
+            LockGuard lock(it.shared->mutex);
+            if (it.service == nullptr) {
+                it.shared->table.retire(decided);
+            } else {
+                it.shared->table.apply(*configuration, *it.service, now);
+                it.shared->table.runWaits(now, decided);
+            }
+        }
+        m_state->deliver(*it.shared, decided);
+    }
+}
+
+Result<Permit> Balancer::acquire(const AcquireRequest &request)
+{
+    const TablePointer shared = m_state->find(request.service);
+    if (!shared) {
+        return fail(Code::NoSuchService);
+    }
+    bool full = false;
+    Result<Permit> first = m_state->tryAcquire(*shared, request, full);
+    if (first) {
+        shared->counters.granted.Increment();
+        return first;
+    }
+    if (!full || !request.mayWait) {
+        shared->counters.countRefusal(first.error().code);
+        return first;
+    }
+    const auto blocked = std::make_shared<BlockedCall>(m_state->clock);
+    const uint64_t waiting =
+        m_state->enqueue(*shared, request, [blocked](Result<Permit> result) { blocked->decide(std::move(result)); });
+    uint64_t cancelId = 0;
+    if (request.cancel != nullptr) {
+        cancelId = request.cancel->onCancel([&] { m_state->giveUp(*shared, waiting); });
+    }
+    m_state->awaitDecision(*shared, *blocked);
+    if (cancelId != 0) {
+        request.cancel->forget(cancelId);
+    }
+    LockGuard lock(blocked->mutex);
+    return std::move(*blocked->result);
+}
+
+uint64_t Balancer::acquireLater(const AcquireRequest &request, GrantHook granted)
+{
+    const TablePointer shared = m_state->find(request.service);
+    if (!shared) {
+        granted(fail(Code::NoSuchService));
+        return 0;
+    }
+    bool full = false;
+    Result<Permit> first = m_state->tryAcquire(*shared, request, full);
+    if (!first && full && request.mayWait) {
+        return m_state->enqueue(*shared, request, std::move(granted));
+    }
+    if (first) {
+        shared->counters.granted.Increment();
+    } else {
+        shared->counters.countRefusal(first.error().code);
+    }
+    granted(std::move(first));
+    return 0;
+}
+
+void Balancer::giveUp(std::string_view service, uint64_t waiting)
+{
+    if (const TablePointer shared = m_state->find(service)) {
+        m_state->giveUp(*shared, waiting);
+    }
+}
+
+TimePoint Balancer::runWaits(std::string_view service)
+{
+    const TablePointer shared = m_state->find(service);
+    return shared ? m_state->runWaits(*shared) : Never;
+}
+
+void Balancer::finish(const Permit &permit, const PermitReport &report)
+{
+    const TablePointer shared = m_state->find(permit.service);
+    DAMASK_ASSERT(shared != nullptr, "finish only permits of this balancer");
+    std::vector<Decided> decided;
+    {
+        LockGuard lock(shared->mutex);
+        const TimePoint now = m_state->clock.now();
+        shared->table.finish(permit, report, now);
+        shared->table.runWaits(now, decided);
+    }
+    const int before = m_state->inFlight.fetch_sub(1, std::memory_order_relaxed);
+    DAMASK_ASSERT(before > 0, "permits in flight are never negative");
+    m_state->deliver(*shared, decided);
+}
+
+void Balancer::absorb(std::span<const LoadNews> news)
+{
+    for (const TablePointer &it : m_state->all()) {
+        std::vector<Decided> decided;
+        {
+            LockGuard lock(it->mutex);
+            const TimePoint now = m_state->clock.now();
+            for (const LoadNews &n : news) {
+                it->table.absorb(n, now);
+            }
+            it->table.runWaits(now, decided);
+        }
+        m_state->deliver(*it, decided);
+    }
+}
+
+std::vector<LoadNews> Balancer::ownNews() const
+{
+    std::vector<LoadNews> news;
+    for (const TablePointer &it : m_state->all()) {
+        LockGuard lock(it->mutex);
+        if (!it->table.retired()) {
+            it->table.appendNews(m_state->clock.now(), news);
+        }
+    }
+    return news;
+}
+
+std::vector<TargetStatus> Balancer::status(std::string_view service) const
+{
+    std::vector<TargetStatus> status;
+    if (const TablePointer shared = m_state->find(service)) {
+        LockGuard lock(shared->mutex);
+        shared->table.appendStatus(m_state->clock.now(), status);
+    }
+    return status;
+}
+
+int Balancer::inFlight() const
+{
+    return m_state->inFlight.load(std::memory_order_relaxed);
+}
+
+} // namespace damask
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -4,6 +4,7 @@
 ///     auto permit = balancer.acquire({.service = "listings", .deadline = deadline});
 ///     ... send to permit->target ...
 ///     balancer.finish(*permit, report);   // exactly once for each permit
+/// A front that does not block uses acquireLater(), and runWaits() when the time that it returned has come.
 /// Pitfall: acquire() may wait (late binding) until the deadline or the service's queueWait.
 #pragma once
 
@@ -16,6 +17,7 @@
 #include "config/model.h"
 #include "route/pick.h"
 
+#include <functional>
 #include <memory>
 #include <span>
 #include <string>
@@ -88,14 +90,19 @@
     std::string dataCentre;                                     // of this entry
     Duration    reportHalfLife = std::chrono::milliseconds(20); // how fast a report loses weight
     size_t      whyEvents = 4096;                               // decisions kept for `damaskctl why`
+    Duration    waitStep = std::chrono::milliseconds(2);        // a waiting call looks again at the aged estimates
 };
 
 /// What varies: the policy and the random source.
 struct BalancerHooks {
     PickPolicy   pick;   // default: damaskPolicy()
-    RandomSource random; // default: systemRandom()
+    RandomSource random; // default: systemRandom(); safe from all threads
+    std::function<void(std::string_view target, TargetView &view)> truth; // benches of the oracle only; default: none
 };
 
+/// Gets the permit, or the refusal, of one acquireLater(); called once, without any lock held.
+using GrantHook = std::function<void(Result<Permit>)>;
+
 class Balancer
 {
 public:
@@ -104,7 +111,10 @@
 
     void           apply(std::shared_ptr<const Configuration> configuration); // revision never decreases (asserted)
     Result<Permit> acquire(const AcquireRequest &request);                    // 1xx codes; nothing was sent
-    void           finish(const Permit &permit, const PermitReport &report);  // exactly once for each permit
+    uint64_t       acquireLater(const AcquireRequest &request, GrantHook granted); // as acquire(), without blocking
+    void           giveUp(std::string_view service, uint64_t waiting); // ends a wait by its id with Cancelled
+    TimePoint      runWaits(std::string_view service); // grants and refuses what is due; when to call it next, or Never
+    void           finish(const Permit &permit, const PermitReport &report); // exactly once for each permit
     void           absorb(std::span<const LoadNews> news);
     std::vector<LoadNews>     ownNews() const; // what this entry knows, for its peers
     std::vector<TargetStatus> status(std::string_view service) const;
--- /dev/null
+++ b/src/route/caller_share.h
@@ -0,0 +1,42 @@
+/// Counts each caller's calls in flight in a table of fixed size, so that one caller's burst is seen as such.
+///
+/// Pure. Callers whose names fall into the same bucket share one count.
+#pragma once
+
+#include "base/check.h"
+#include "base/hash.h"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace damask {
+
+class CallerShares
+{
+public:
+    static constexpr uint32_t Buckets = 256;
+
+    static uint32_t bucket(std::string_view caller)
+    {
+        return static_cast<uint32_t>(hashBytes(caller) % Buckets);
+    }
+    void started(uint32_t bucket)
+    {
+        ++m_inFlight[bucket];
+    }
+    void ended(uint32_t bucket)
+    {
+        DAMASK_ASSERT(m_inFlight[bucket] > 0, "a caller's calls in flight are never negative");
+        --m_inFlight[bucket];
+    }
+    uint32_t inFlight(uint32_t bucket) const
+    {
+        return m_inFlight[bucket];
+    }
+
+private:
+    std::array<uint32_t, Buckets> m_inFlight{};
+};
+
+} // namespace damask
--- /dev/null
+++ b/src/route/pick.cpp
@@ -0,0 +1,179 @@
+// The baselines that our policy is measured against, and the bound that knows the truth.
+#include "route/pick.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace damask {
+
+namespace {
+
+constexpr double HotQuantile = 0.84; // of reported loads; a target above it is hot (Prequal's default)
+constexpr size_t MostViews = 64;     // views that hot-cold sorts without an allocation
+
+using Views = std::span<const TargetView>;
+
+size_t randomIndex(const PickContext &context, size_t count)
+{
+    return static_cast<size_t>((*context.random)() % count);
+}
+
+/// Last report as it was, or what we sent ourselves where there is none.
+int knownLoad(const TargetView &view)
+{
+    return std::max(view.reported, view.inFlight);
+}
+
+/// The position with the least cost; among equals a random one, so that entries do not follow each other.
+template<class Cost>
+int leastBy(Views views, const PickContext &context, const Cost &cost)
+{
+    auto least = std::numeric_limits<double>::max();
+    int best = NoPick;
+    size_t ties = 0;
+    for (size_t n = 0; n < views.size(); ++n) {
+        const double c = cost(views[n]);
+        if (c < least) {
+            least = c;
+            best = static_cast<int>(n);
+            ties = 1;
+        } else if (c == least) {
+            ++ties;
+            best = randomIndex(context, ties) == 0 ? static_cast<int>(n) : best;
+        }
+    }
+    return best;
+}
+
+int pickRandom(Views views, const PickContext &context)
+{
+    return static_cast<int>(randomIndex(context, views.size()));
+}
+
+int pickRoundRobin(Views views, const PickContext &context)
+{
+    return static_cast<int>(context.sequence % views.size());
+}
+
+int pickLeastInFlight(Views views, const PickContext &context)
+{
+    return leastBy(views, context, [](const TargetView &n) { return static_cast<double>(n.inFlight); });
+}
+
+int pickPowerOfTwo(Views views, const PickContext &context)
+{
+    const size_t first = randomIndex(context, views.size());
+    const size_t second = randomIndex(context, views.size());
+    return static_cast<int>(knownLoad(views[second]) < knownLoad(views[first]) ? second : first);
+}
+
+int hotFrom(Views views)
+{
+    std::array<int, MostViews> loads{};
+    const size_t count = std::min(views.size(), MostViews);
+    for (size_t n = 0; n < count; ++n) {
+        loads[n] = knownLoad(views[n]);
+    }
+    const auto nth = loads.begin() + static_cast<std::ptrdiff_t>(HotQuantile * static_cast<double>(count - 1));
+    std::nth_element(loads.begin(), nth, loads.begin() + static_cast<std::ptrdiff_t>(count));
+    return *nth;
+}
+
+int pickHotCold(Views views, const PickContext &context)
+{
+    const int hot = hotFrom(views);
+    const auto cost = [hot](const TargetView &n) {
+        const int load = knownLoad(n);
+        const bool isHot = load > hot;
+        return isHot ? 1e9 + load : static_cast<double>(n.typicalTime + n.linkDelay);
+    };
+    return leastBy(views, context, cost);
+}
+
+int pickJoinIdleQueue(Views views, const PickContext &context)
+{
+    const auto cost = [](const TargetView &n) {
+        const bool idle = n.reported >= 0 && knownLoad(n) < n.slots;
+        return idle ? 0.0 : 1.0;
+    };
+    return leastBy(views, context, cost);
+}
+
+int pickOracle(Views views, const PickContext &context)
+{
+    const auto cost = [](const TargetView &n) {
+        const double queued = std::max(0, n.trueInFlight + 1 - n.slots);
+        const double turns = 1 + queued / n.slots;
+        return turns * n.fleetTime / static_cast<double>(n.trueSpeed) + static_cast<double>(n.linkDelay);
+    };
+    return leastBy(views, context, cost);
+}
+
+} // namespace
+
+PickPolicy randomPolicy()
+{
+    return pickRandom;
+}
+
+PickPolicy roundRobinPolicy()
+{
+    return pickRoundRobin;
+}
+
+PickPolicy leastInFlightPolicy()
+{
+    return pickLeastInFlight;
+}
+
+PickPolicy powerOfTwoPolicy()
+{
+    return pickPowerOfTwo;
+}
+
+PickPolicy hotColdPolicy()
+{
+    return pickHotCold;
+}
+
+PickPolicy joinIdleQueuePolicy()
+{
+    return pickJoinIdleQueue;
+}
+
+PickPolicy oraclePolicy()
+{
+    return pickOracle;
+}
+
+PickPolicy policyByName(std::string_view name)
+{
+    if (name == "damask") {
+        return damaskPolicy();
+    }
+    if (name == "random") {
+        return randomPolicy();
+    }
+    if (name == "round-robin") {
+        return roundRobinPolicy();
+    }
+    if (name == "least-in-flight") {
+        return leastInFlightPolicy();
+    }
+    if (name == "power-of-two") {
+        return powerOfTwoPolicy();
+    }
+    if (name == "hot-cold") {
+        return hotColdPolicy();
+    }
+    if (name == "join-idle-queue") {
+        return joinIdleQueuePolicy();
+    }
+    if (name == "oracle") {
+        return oraclePolicy();
+    }
+    return {};
+}
+
+} // namespace damask
--- a/src/route/pick.h
+++ b/src/route/pick.h
@@ -25,13 +25,19 @@
     float    linkDelay = 0;     // ms, there and back
     float    warmth = 1;        // 0 to 1: share of its slots it may use after a cold start
     float    failing = 0;       // 0 to 1: share of its last answers that failed
+    int      reported = -1;     // calls in flight as last reported, as it was; -1: never
+    float    limit = 1;         // calls in flight of all entries at which it counts as full
+    float    fleetTime = 1;     // ms, of answers of all targets of the service
     int      trueInFlight = -1; // for the oracle in benches only; -1: not known
+    float    trueSpeed = 1;     // for the oracle in benches only
 };
 
 /// What a policy is given besides.
 struct PickContext {
     const RandomSource *random = nullptr; // never null
     uint64_t            sequence = 0;     // rises by one with each pick of the service
+    float               waited = 0;       // ms that the call has waited for a slot
+    bool                hurry = false;    // no answer is due that would tell more: do not wait on an estimate
 };
 
 constexpr int NoPick = -1; // every target is full: wait or refuse
--- /dev/null
+++ b/src/route/service_learn.cpp
@@ -0,0 +1,166 @@
+// What a service's table learns: from ended calls, from news, and what it tells of it.
+#include "route/service_table.h"
+
+#include "base/check.h"
+
+#include <algorithm>
+
+namespace damask {
+
+namespace {
+
+constexpr size_t LeastShareIn = 3;                          // at most one target in so many is ejected
+constexpr double FleetWeight = 0.02;                        // of one report or answer in the fleet's average
+constexpr Duration LeavingHolds = std::chrono::seconds(60); // news of leaving, unless repeated
+constexpr int FirstServerError = 500;                       // HTTP status
+
+} // namespace
+
+void ServiceTable::finish(const Permit &permit, const PermitReport &report, TimePoint now)
+{
+    TargetEntry *entry = find(permit.address->name);
+    DAMASK_ASSERT(entry != nullptr, "finish each permit exactly once");
+    const CallInFlight call = entry->load.ended(permit.id);
+    m_shares.ended(call.caller);
+    --m_inFlight;
+    DAMASK_ASSERT(m_inFlight >= 0, "calls in flight are never negative");
+    learn(*entry, permit, report, now);
+    if (!entry->configured && entry->load.inFlight() == 0) {
+        dropGone();
+    }
+}
+
+void ServiceTable::learn(TargetEntry &entry, const Permit &permit, const PermitReport &report, TimePoint now)
+{
+    if (report.load) {
+        learnReport(entry, *report.load, now - entry.linkDelay / 2);
+        m_heardAt = now;
+    }
+    const bool room = !report.load || report.load->inFlight < entry.target.slots;
+    switch (report.end) {
+    case AttemptEnd::Answered:
+        m_heardAt = now;
+        if (report.status >= FirstServerError) {
+            learnFailure(entry, now);
+        } else {
+            learnAnswer(entry, permit, now);
+        }
+        break;
+    case AttemptEnd::Refused:
+        entry.load.refused(entry.target.slots);
+        if (room && !entry.reportsDrain) {
+            learnFailure(entry, now);
+        } else {
+            entry.health.trialEnded();
+        }
+        break;
+    case AttemptEnd::NotSent:
+    case AttemptEnd::Lost:
+        if (report.code == Code::Cancelled || report.code == Code::TargetShares) {
+            entry.health.trialEnded();
+        } else {
+            learnFailure(entry, now);
+        }
+        break;
+    }
+}
+
+void ServiceTable::learnAnswer(TargetEntry &entry, const Permit &permit, TimePoint now)
+{
+    const Duration whole = now - permit.grantedAt;
+    const Duration own = std::max(whole - entry.linkDelay, Duration(0));
+    const auto sample = static_cast<float>(toMilliseconds(own));
+    m_expected.answered(whole, now);
+    m_fleetTime = m_fleetTime == 0 ? sample : m_fleetTime + static_cast<float>(FleetWeight) * (sample - m_fleetTime);
+    entry.load.answered(own);
+    entry.load.succeeded(entry.target.slots);
+    const bool wasOut = entry.health.ejected();
+    entry.health.good(now);
+    m_ejected -= wasOut && !entry.health.ejected() ? 1 : 0;
+}
+
+void ServiceTable::learnFailure(TargetEntry &entry, TimePoint now)
+{
+    const bool wasOut = entry.health.ejected();
+    if (!entry.health.bad()) {
+        return;
+    }
+    if (!wasOut && (m_ejected + 1) * LeastShareIn > m_configured) {
+        return;
+    }
+    entry.health.eject(now);
+    m_ejected += wasOut ? 0 : 1;
+    DAMASK_ASSERT(m_ejected * LeastShareIn <= m_configured || wasOut, "a third of the targets is out at most");
+}
+
+void ServiceTable::learnReport(TargetEntry &entry, const LoadReport &report, TimePoint takenAt)
+{
+    entry.load.reported(report, takenAt);
+    entry.reportsDrain = report.draining;
+    m_usualOthers += FleetWeight * (entry.load.others() - m_usualOthers);
+    const auto it = std::find_if(m_targets.begin(), m_targets.end(), [&](const auto &n) { return n.get() == &entry; });
+    remember(static_cast<size_t>(it - m_targets.begin()));
+}
+
+void ServiceTable::remember(size_t index)
+{
+    if (std::find(m_recent.begin(), m_recent.end(), index) != m_recent.end()) {
+        return;
+    }
+    m_recent[m_recentNext] = index;
+    m_recentNext = (m_recentNext + 1) % RecentTargets;
+}
+
+void ServiceTable::absorb(const LoadNews &news, TimePoint now)
+{
+    TargetEntry *entry = find(news.target);
+    if (entry == nullptr) {
+        return;
+    }
+    if (news.leaving) {
+        entry->leavingUntil = std::max(entry->leavingUntil, now - news.age + LeavingHolds);
+    }
+    const TimePoint takenAt = now - news.age;
+    if (news.report.slots > 0 && (entry->load.lastReport() < 0 || takenAt > entry->load.reportedAt())) {
+        learnReport(*entry, news.report, takenAt);
+    }
+}
+
+void ServiceTable::appendNews(TimePoint now, std::vector<LoadNews> &news) const
+{
+    for (const auto &it : m_targets) {
+        if (!it->configured || it->load.lastReport() < 0) {
+            continue;
+        }
+        LoadNews n;
+        n.target = it->address->name;
+        n.report = {it->load.lastReport(), it->target.slots, it->reportsDrain};
+        n.age = now - it->load.reportedAt();
+        n.leaving = now < it->leavingUntil;
+        news.push_back(std::move(n));
+    }
+}
+
+void ServiceTable::appendStatus(TimePoint now, std::vector<TargetStatus> &status) const
+{
+    for (const auto &it : m_targets) {
+        if (!it->configured) {
+            continue;
+        }
+        const bool reported = it->load.lastReport() >= 0;
+        TargetStatus n;
+        n.name = it->address->name;
+        n.dataCentre = it->target.dataCentre;
+        n.inFlight = it->load.inFlight();
+        n.estimate = it->load.estimate(now, m_options.reportHalfLife, m_usualOthers);
+        n.reportAge = reported ? now - it->load.reportedAt() : Duration(0);
+        n.reported = reported;
+        n.draining = draining(*it, now);
+        n.ejected = it->health.ejected();
+        n.oldestCall = it->load.oldestCall(now);
+        n.typicalTime = fromMilliseconds(it->load.typicalTime());
+        status.push_back(std::move(n));
+    }
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/route/target_health.h
@@ -0,0 +1,52 @@
+/// Whether a target gets work: share of failures, ejection with trials, and slow start.
+///
+/// Pure: the caller passes the time, holds any lock and bounds how many targets are out at once.
+/// Pitfall: a refusal for want of room is no failure; report only what a healthy target would not do.
+#pragma once
+
+#include "base/time.h"
+
+namespace damask {
+
+class TargetHealth
+{
+public:
+    /// What the target may be given now.
+    enum class State {
+        In,    // any call
+        Out,   // nothing
+        Trial, // one idempotent call at a time
+    };
+
+    void  good(TimePoint now);   // an answer below 500
+    bool  bad();                 // a failure; true when the target should be ejected
+    void  eject(TimePoint now);  // only when bad() said so and the bound allows it
+    void  trialSent();           // the one call of a trial is out
+    void  trialEnded();          // it ended without a verdict (cancelled, not sent)
+    void  warmUp(TimePoint now); // a cold start: a new process at the address
+    void  comeBack();            // in again without a trial
+    State state(TimePoint now) const;
+    float warmth(TimePoint now) const; // share of its slots it may use, above 0 to 1
+
+    float failing() const // 0 to 1: share of its last answers that failed
+    {
+        return m_failing;
+    }
+    bool ejected() const
+    {
+        return m_ejected;
+    }
+
+private:
+    float     m_failing = 0;
+    int       m_samples = 0;    // answers seen since it came in
+    int       m_goodTrials = 0; // one after another
+    int       m_timesOut = 0;   // ejections one after another
+    bool      m_ejected = false;
+    bool      m_trialOut = false;
+    TimePoint m_outUntil{};
+    TimePoint m_warmFrom{};
+    bool      m_warming = false;
+};
+
+} // namespace damask
--- /dev/null
+++ b/src/route/target_load.cpp
@@ -0,0 +1,114 @@
+#include "route/target_load.h"
+
+#include "base/check.h"
+
+#include <algorithm>
+
+namespace damask {
+
+namespace {
+
+constexpr size_t ReservedCalls = 64;    // calls in flight held without an allocation
+constexpr float TimeWeight = 0.05F;     // of a new answer in the typical time
+constexpr double UsualWeight = 0.1;     // of a new report in the usual load
+constexpr float QueueOfSlots = 0.5F;    // calls queued at a target at most, in shares of its slots
+constexpr float RaiseOnSuccess = 0.05F; // calls by which one answer raises the limit
+constexpr float LowerOnRefusal = 0.3F;  // share of the limit that one refusal takes away
+
+/// About 2^-halves, without a call of the math library; exact at 0 and falling.
+double decay(double halves)
+{
+    const double x = halves * 0.6931471805599453;
+    return 1 / (1 + x + x * x / 2 + x * x * x / 6);
+}
+
+} // namespace
+
+TargetLoad::TargetLoad()
+{
+    m_calls.reserve(ReservedCalls);
+}
+
+void TargetLoad::sent(const CallInFlight &call)
+{
+    m_calls.push_back(call);
+}
+
+CallInFlight TargetLoad::ended(uint64_t permit)
+{
+    const auto it = std::find_if(m_calls.begin(), m_calls.end(), [&](const CallInFlight &n) { return n.id == permit; });
+    DAMASK_ASSERT(it != m_calls.end(), "finish each permit exactly once");
+    const CallInFlight call = *it;
+    m_calls.erase(it);
+    return call;
+}
+
+void TargetLoad::reported(const LoadReport &report, TimePoint takenAt)
+{
+    if (m_lastReport >= 0 && takenAt < m_reportedAt) {
+        return;
+    }
+    const auto sentBefore =
+        std::count_if(m_calls.begin(), m_calls.end(), [&](const CallInFlight &n) { return n.sentAt <= takenAt; });
+    m_others = std::max(0.0, static_cast<double>(report.inFlight - sentBefore));
+    m_usualOthers = m_lastReport < 0 ? m_others : m_usualOthers + UsualWeight * (m_others - m_usualOthers);
+    m_lastReport = std::max(0, report.inFlight);
+    m_reportedAt = takenAt;
+}
+
+void TargetLoad::answered(Duration time)
+{
+    const auto sample = static_cast<float>(std::max(0.0, toMilliseconds(time)));
+    m_typicalTime = m_typicalTime == 0 ? sample : m_typicalTime + TimeWeight * (sample - m_typicalTime);
+}
+
+void TargetLoad::refused(int slots)
+{
+    const float lowered = limit(slots) * (1 - LowerOnRefusal);
+    m_queueAllowed = std::max(lowered, 1.0F) - static_cast<float>(slots);
+}
+
+void TargetLoad::succeeded(int slots)
+{
+    m_queueAllowed = std::min(m_queueAllowed + RaiseOnSuccess, QueueOfSlots * static_cast<float>(slots));
+}
+
+void TargetLoad::forget()
+{
+    m_lastReport = -1;
+    m_others = 0;
+    m_usualOthers = 0;
+    m_typicalTime = 0;
+    m_queueAllowed = 0;
+}
+
+double TargetLoad::estimate(TimePoint now, Duration halfLife, double usual) const
+{
+    if (m_lastReport < 0) {
+        return m_calls.size() + usual;
+    }
+    const double halves = toSeconds(std::max(now - m_reportedAt, Duration(0))) / toSeconds(halfLife);
+    return m_calls.size() + usual + (m_others - usual) * decay(halves);
+}
+
+double TargetLoad::others() const
+{
+    return m_others;
+}
+
+double TargetLoad::usualOthers() const
+{
+    return m_usualOthers;
+}
+
+Duration TargetLoad::oldestCall(TimePoint now) const
+{
+    return m_calls.empty() ? Duration(0) : now - m_calls.front().sentAt;
+}
+
+float TargetLoad::limit(int slots) const
+{
+    return std::max(1.0F, static_cast<float>(slots) + m_queueAllowed);
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/route/target_load.h
@@ -0,0 +1,67 @@
+/// What one entry knows of the load of one target: its own calls exactly, all others' from aged reports.
+///
+/// Pure: the caller passes the time and holds any lock.
+#pragma once
+
+#include "base/time.h"
+#include "call/message.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace damask {
+
+/// One call of ours that the target has not answered yet.
+struct CallInFlight {
+    uint64_t  id = 0;     // of its permit
+    uint32_t  caller = 0; // bucket of CallerShares
+    TimePoint sentAt;
+};
+
+class TargetLoad
+{
+public:
+    TargetLoad();
+
+    void         sent(const CallInFlight &call);
+    CallInFlight ended(uint64_t permit); // asserts that the permit was out
+    void         reported(const LoadReport &report, TimePoint takenAt);
+    void         answered(Duration time); // a good answer; its time without the link
+    void         refused(int slots);      // the target had no room: lowers the limit
+    void         succeeded(int slots);    // the target had room: raises the limit slowly
+    void         forget();                // another process stands at the address now
+
+    double   estimate(TimePoint now, Duration halfLife, double usual) const; // usual: others' calls on such a target
+    double   others() const;                                                 // of the last report: calls not ours
+    double   usualOthers() const;                                            // of all its reports, smoothed
+    Duration oldestCall(TimePoint now) const;                                // 0 when none is in flight
+    float    limit(int slots) const;                                         // 1 to slots and a small queue
+
+    int inFlight() const
+    {
+        return static_cast<int>(m_calls.size());
+    }
+    int lastReport() const // -1: never
+    {
+        return m_lastReport;
+    }
+    TimePoint reportedAt() const
+    {
+        return m_reportedAt;
+    }
+    float typicalTime() const // ms, 0: no answer yet
+    {
+        return m_typicalTime;
+    }
+
+private:
+    std::vector<CallInFlight> m_calls; // in the order of sending
+    TimePoint                 m_reportedAt{};
+    int                       m_lastReport = -1;
+    double                    m_others = 0;
+    double                    m_usualOthers = 0;
+    float                     m_typicalTime = 0;
+    float                     m_queueAllowed = 0; // calls beyond the slots; negative after refusals
+};
+
+} // namespace damask
--- /dev/null
+++ b/src/route/wait_queue.h
@@ -0,0 +1,69 @@
+/// Calls that wait in one entry for a slot of one service: bounded, in the order of deadlines, shared by callers.
+///
+/// Pure: the caller holds the lock of the service, passes the time and runs the hooks after unlocking.
+#pragma once
+
+#include "base/time.h"
+#include "route/balancer.h"
+#include "route/caller_share.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace damask {
+
+/// One waiting call, with copies of what its request only points to.
+struct Waiter {
+    uint64_t                 id = 0;
+    uint32_t                 caller = 0; // bucket of CallerShares
+    std::vector<std::string> dataCentres;
+    std::string              avoid;
+    TimePoint                deadline = Never; // of the call
+    TimePoint                giveUpAt = Never; // no slot by then: refused with `atEnd`
+    Code                     atEnd = Code::QueueTimeout;
+    TimePoint                arrivedAt;
+    bool                     idempotent = false;
+    size_t                   bodyBytes = 0;
+    GrantHook                granted;
+
+    AcquireRequest request() const; // views into this waiter
+    bool           picky() const;   // not every target will do
+};
+
+/// A waiter that is done, and with what. The hook runs after the lock is released.
+struct Decided {
+    GrantHook      granted;
+    Result<Permit> result;
+};
+
+class WaitQueue
+{
+public:
+    explicit WaitQueue(size_t limit = 0);
+
+    void   setLimit(size_t limit);
+    size_t size() const;
+    bool   empty() const;
+
+    Code      add(Waiter waiter, std::vector<Decided> &decided); // Ok, QueueFull, FairShareExceeded
+    Waiter    take(size_t position);                             // removes it
+    int       positionOf(uint64_t id) const;                     // -1: not there
+    size_t    ahead(TimePoint giveUpAt) const;                   // waiters with an earlier end
+    TimePoint firstEnd() const;                                  // Never when empty
+    void      refuseDue(TimePoint now, std::vector<Decided> &decided);
+    void      refuseAll(Code code, std::vector<Decided> &decided);
+
+    std::vector<size_t> order(const CallerShares &shares) const; // positions, the next to be granted first
+    const Waiter       &at(size_t position) const;
+
+private:
+    size_t countOf(uint32_t caller) const;
+    size_t callers() const;
+    int    latestOfLargest() const;
+
+    size_t              m_limit;
+    std::vector<Waiter> m_waiters;
+};
+
+} // namespace damask
