Send attempts over kept connections, and match rules

Cause: the entry needs a sender that knows for each failure how far the request got. cpp-httplib 0.11 decodes %xx in header values, adds fields to requests and takes a malformed length for 0, so its Client can't pass calls through unchanged. Change: back/ keeps its own sockets and writes the head itself; the library reads the answer through a Stream of ours and its raw head is read strictly beside it.

--- /dev/null
+++ b/src/back/answer_head.cpp
@@ -0,0 +1,198 @@
+#include "back/answer_head.h"
+
+#include "back/request_head.h"
+#include "call/headers.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace damask {
+
+namespace {
+
+constexpr size_t StatusLineLeast = 12; // bytes of "HTTP/1.1 200"
+constexpr int MaxReported = 1'000'000; // in a load report; more is malformed
+constexpr int TooManyRequests = 429;
+constexpr int ServiceUnavailable = 503;
+
+bool isTokenByte(char c)
+{
+    const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    const bool digit = c >= '0' && c <= '9';
+    return letter || digit || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+bool isValueByte(char c)
+{
+    const auto n = static_cast<unsigned char>(c);
+    return n == '\t' || (n >= 0x20 && n != 0x7f);
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+template<class T>
+bool parseWhole(std::string_view text, T &out)
+{
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
+    return ec == std::errc() && end == text.data() + text.size() && !text.empty();
+}
+
+/// Takes one line without its CRLF off the front of text; false when there is none.
+bool takeLine(std::string_view &text, std::string_view &line)
+{
+    const size_t end = text.find("\r\n");
+    if (end == std::string_view::npos) {
+        return false;
+    }
+    line = text.substr(0, end);
+    text.remove_prefix(end + 2);
+    return std::all_of(line.begin(), line.end(), isValueByte);
+}
+
+bool parseStatusLine(std::string_view line, AnswerHead &out)
+{
+    const bool known = line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 ");
+    if (!known || line.size() < StatusLineLeast) {
+        return false;
+    }
+    if (line.size() > StatusLineLeast && line[StatusLineLeast] != ' ') {
+        return false;
+    }
+    out.close = line.starts_with("HTTP/1.0 ");
+    return parseWhole(line.substr(9, 3), out.status) && out.status >= 200 && out.status <= 599;
+}
+
+bool parseField(std::string_view line, std::vector<HeaderField> &out)
+{
+    const size_t colon = line.find(':');
+    if (colon == 0 || colon == std::string_view::npos) {
+        return false;
+    }
+    const std::string_view name = line.substr(0, colon);
+    if (!std::all_of(name.begin(), name.end(), isTokenByte)) {
+        return false;
+    }
+    out.push_back({std::string(name), std::string(trimmed(line.substr(colon + 1)))});
+    return true;
+}
+
+/// Finds out how the body ends; false when fields contradict each other.
+bool frame(AnswerHead &out, std::string_view method)
+{
+    size_t lengths = 0;
+    size_t codings = 0;
+    for (const HeaderField &it : out.headers) {
+        if (sameHeaderName(it.name, "Content-Length")) {
+            ++lengths;
+            if (!parseWhole(it.value, out.length)) {
+                return false;
+            }
+            out.framing = BodyFraming::Length;
+        } else if (sameHeaderName(it.name, "Transfer-Encoding")) {
+            ++codings;
+            if (!sameHeaderName(it.value, "chunked")) {
+                return false;
+            }
+            out.framing = BodyFraming::Chunked;
+        }
+    }
+    if (method == "HEAD" || out.status == 204 || out.status == 304) {
+        out.framing = BodyFraming::None;
+    }
+    return lengths + codings <= 1;
+}
+
+} // namespace
+
+Result<AnswerHead> parseAnswerHead(std::string_view head, std::string_view method)
+{
+    AnswerHead out;
+    std::string_view line;
+    if (!takeLine(head, line) || !parseStatusLine(line, out)) {
+        return fail(Code::BadAnswer, "the status line is malformed");
+    }
+    while (takeLine(head, line) && !line.empty()) {
+        if (!parseField(line, out.headers)) {
+            return fail(Code::BadAnswer, "a header field is malformed");
+        }
+    }
+    if (!line.empty() || !head.empty()) {
+        return fail(Code::BadAnswer, "the header is malformed");
+    }
+    if (!frame(out, method)) {
+        return fail(Code::BadAnswer, "the length of the body is malformed or contradicts itself");
+    }
+    const std::string_view connection = headerValue(out.headers, "Connection");
+    out.close = out.close || isHopByHop("close", connection);
+    return out;
+}
+
+std::vector<HeaderField> endToEndFields(std::vector<HeaderField> headers)
+{
+    const std::string connection(headerValue(headers, "Connection"));
+    std::erase_if(headers, [&connection](const HeaderField &it) {
+        return isHopByHop(it.name, connection) || sameHeaderName(it.name, "Content-Length")
+               || sameHeaderName(it.name, header::Load) || sameHeaderName(it.name, header::Drain)
+               || sameHeaderName(it.name, header::Refused) || sameHeaderName(it.name, header::Outcome)
+               || sameHeaderName(it.name, header::ResultCode) || sameHeaderName(it.name, header::Target)
+               || sameHeaderName(it.name, header::Attempts);
+    });
+    return headers;
+}
+
+namespace {
+
+/// Reads "inflight=3; slots=6".
+std::optional<LoadReport> parseLoad(std::string_view text)
+{
+    LoadReport out;
+    bool seen = false;
+    while (!text.empty()) {
+        const size_t semicolon = text.find(';');
+        const std::string_view part = trimmed(text.substr(0, semicolon));
+        const size_t equals = part.find('=');
+        if (equals == std::string_view::npos) {
+            return std::nullopt;
+        }
+        int n = 0;
+        if (!parseWhole(trimmed(part.substr(equals + 1)), n) || n < 0 || n > MaxReported) {
+            return std::nullopt;
+        }
+        const std::string_view name = trimmed(part.substr(0, equals));
+        if (sameHeaderName(name, "inflight")) {
+            out.inFlight = n;
+            seen = true;
+        } else if (sameHeaderName(name, "slots")) {
+            out.slots = n;
+        }
+        text = semicolon == std::string_view::npos ? std::string_view() : text.substr(semicolon + 1);
+    }
+    return seen ? std::optional(out) : std::nullopt;
+}
+
+} // namespace
+
+std::optional<LoadReport> carriedLoad(std::span<const HeaderField> headers)
+{
+    auto out = parseLoad(headerValue(headers, header::Load));
+    if (sameHeaderName(headerValue(headers, header::Drain), "yes")) {
+        out = out.value_or(LoadReport());
+        out->draining = true;
+    }
+    return out;
+}
+
+bool refusedAsNotRun(const AnswerHead &head)
+{
+    const bool status = head.status == ServiceUnavailable || head.status == TooManyRequests;
+    return status && headerValue(head.headers, header::Refused) == "not-run";
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/back/connection.cpp
@@ -0,0 +1,178 @@
+#include "back/connection.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <ctime>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <string>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+namespace damask {
+
+namespace {
+
+constexpr unsigned UnacknowledgedLimit = 1000; // ms that sent bytes may stay unacknowledged before the kernel gives up
+constexpr size_t MaxParts = 4;                 // parts of one send()
+
+timespec toTimespec(Duration duration)
+{
+    const Duration n = std::max(duration, Duration::zero());
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(n);
+    timespec out{};
+    out.tv_sec = seconds.count();
+    out.tv_nsec = (n - seconds).count();
+    return out;
+}
+
+Result<sockaddr_in> toSocketAddress(std::string_view address, uint16_t port)
+{
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(port);
+    if (inet_pton(AF_INET, std::string(address).c_str(), &out.sin_addr) != 1) {
+        return fail(Code::ConnectFailed, "the address of the target is not an IP number");
+    }
+    return out;
+}
+
+void setOptions(int socket)
+{
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedLimit, sizeof UnacknowledgedLimit);
+}
+
+bool pollOne(int socket, short events, Duration timeout)
+{
+    pollfd n{socket, events, 0};
+    const timespec limit = toTimespec(timeout);
+    int ready = -1;
+    do {
+        ready = ppoll(&n, 1, &limit, nullptr);
+    } while (ready < 0 && errno == EINTR);
+    return ready > 0;
+}
+
+int pendingError(int socket)
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size);
+    return error;
+}
+
+/// Takes sent bytes off the front of the parts.
+void dropFront(std::span<iovec> parts, size_t bytes)
+{
+    for (iovec &it : parts) {
+        const size_t n = std::min(bytes, it.iov_len);
+        it.iov_base = static_cast<char *>(it.iov_base) + n;
+        it.iov_len -= n;
+        bytes -= n;
+    }
+}
+
+} // namespace
+
+Result<std::unique_ptr<Connection>> Connection::open(std::string_view address, uint16_t port, Duration timeout)
+{
+    const auto to = toSocketAddress(address, port);
+    if (!to) {
+        return tl::unexpected(to.error());
+    }
+    FileDescriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket.valid()) {
+        return fail(Code::ConnectFailed, "no socket could be made");
+    }
+    setOptions(socket.get());
+    const int began = ::connect(socket.get(), reinterpret_cast<const sockaddr *>(&*to), sizeof *to);
+    if (began != 0) {
+        if (errno != EINPROGRESS) {
+            return fail(Code::ConnectFailed, "the target refused the connection");
+        }
+        if (!pollOne(socket.get(), POLLOUT, timeout)) {
+            return fail(Code::ConnectFailed, "the target did not accept the connection in time");
+        }
+        if (pendingError(socket.get()) != 0) {
+            return fail(Code::ConnectFailed, "the target refused the connection");
+        }
+    }
+    return std::make_unique<Connection>(std::move(socket));
+}
+
+Connection::Connection(FileDescriptor socket)
+    : m_socket(std::move(socket))
+{
+}
+
+IoResult Connection::send(std::span<const std::string_view> parts, Duration timeout)
+{
+    std::array<iovec, MaxParts> left{};
+    size_t count = 0;
+    size_t bytes = 0;
+    for (const std::string_view it : parts.first(std::min(parts.size(), MaxParts))) {
+        left[count] = {const_cast<char *>(it.data()), it.size()};
+        ++count;
+        bytes += it.size();
+    }
+    IoResult out;
+    while (out.bytes < bytes) {
+        msghdr message{};
+        message.msg_iov = left.data();
+        message.msg_iovlen = count;
+        const ssize_t n = sendmsg(m_socket.get(), &message, MSG_NOSIGNAL);
+        if (n >= 0) {
+            out.bytes += static_cast<size_t>(n);
+            dropFront({left.data(), count}, static_cast<size_t>(n));
+        } else if (errno == EAGAIN) {
+            if (!waitFor(POLLOUT, timeout)) {
+                out.end = IoEnd::TimedOut;
+                return out;
+            }
+        } else if (errno != EINTR) {
+            out.end = IoEnd::Closed;
+            return out;
+        }
+    }
+    return out;
+}
+
+IoResult Connection::receive(std::span<char> buffer, Duration timeout)
+{
+    while (true) {
+        if (!waitFor(POLLIN, timeout)) {
+            return {IoEnd::TimedOut, 0};
+        }
+        const ssize_t n = recv(m_socket.get(), buffer.data(), buffer.size(), 0);
+        if (n > 0) {
+            return {IoEnd::Done, static_cast<size_t>(n)};
+        }
+        if (n == 0 || (errno != EINTR && errno != EAGAIN)) {
+            return {IoEnd::Closed, 0};
+        }
+    }
+}
+
+bool Connection::quiet() const
+{
+    char byte = 0;
+    const ssize_t n = recv(m_socket.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && errno == EAGAIN;
+}
+
+void Connection::cut()
+{
+    shutdown(m_socket.get(), SHUT_RDWR);
+}
+
+bool Connection::waitFor(short events, Duration timeout) const
+{
+    return pollOne(m_socket.get(), events, timeout);
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/back/exchange.cpp
@@ -0,0 +1,226 @@
+#include "back/exchange.h"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <httplib.h>
+
+namespace damask {
+
+namespace {
+
+constexpr size_t MaxHeadBytes = 64UL * 1024; // of an answer's head
+constexpr size_t BufferBytes = 16UL * 1024;  // read from the socket at once
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+constexpr std::string_view ChunksEnd = "0\r\n\r\n";
+constexpr std::string_view Continue = "HTTP/1.1 100";
+
+/// Feeds the answer's bytes to the library and keeps its raw head. The request has been sent before.
+class AnswerStream : public httplib::Stream
+{
+public:
+    AnswerStream(Connection &connection, const Clock &clock, TimePoint deadline)
+        : m_connection(connection)
+        , m_clock(clock)
+        , m_deadline(deadline)
+    {
+    }
+
+    bool is_readable() const override
+    {
+        return true;
+    }
+    bool is_writable() const override
+    {
+        return true;
+    }
+    ssize_t read(char *out, size_t size) override
+    {
+        if (m_at == m_filled && !fill()) {
+            return m_code == Code::Ok ? 0 : -1;
+        }
+        const size_t n = std::min(size, m_filled - m_at);
+        std::memcpy(out, m_buffer.data() + m_at, n);
+        m_at += n;
+        note({out, n});
+        return m_code == Code::Ok ? static_cast<ssize_t>(n) : -1;
+    }
+    ssize_t write(const char *, size_t size) override
+    {
+        return static_cast<ssize_t>(size);
+    }
+    void get_remote_ip_and_port(std::string &, int &) const override
+    {
+    }
+    void get_local_ip_and_port(std::string &, int &) const override
+    {
+    }
+    socket_t socket() const override
+    {
+        return INVALID_SOCKET;
+    }
+
+    Code code() const
+    {
+        return m_code;
+    }
+    std::string_view head() const
+    {
+        return m_head;
+    }
+    bool anyAnswer() const
+    {
+        return m_filled > 0;
+    }
+    bool drained() const
+    {
+        return m_at == m_filled;
+    }
+    bool chunksEnded() const
+    {
+        return std::string_view(m_last.data(), m_last.size()) == ChunksEnd;
+    }
+
+private:
+    bool fill()
+    {
+        const IoResult got = m_connection.receive(m_buffer, m_deadline - m_clock.now());
+        if (got.end == IoEnd::Done) {
+            m_at = 0;
+            m_filled = got.bytes;
+            return true;
+        }
+        m_code = got.end == IoEnd::TimedOut ? Code::AnswerTimeout : Code::ConnectionLost;
+        return false;
+    }
+    void note(std::string_view bytes)
+    {
+        for (const char c : bytes.substr(bytes.size() - std::min(bytes.size(), m_last.size()))) {
+            std::rotate(m_last.begin(), m_last.begin() + 1, m_last.end());
+            m_last.back() = c;
+        }
+        if (m_headWhole) {
+            return;
+        }
+        m_head += bytes;
+        if (m_head.ends_with(HeadEnd)) {
+            m_headWhole = !m_head.starts_with(Continue);
+            if (!m_headWhole) {
+                m_head.clear();
+            }
+        }
+        if (m_head.size() > MaxHeadBytes) {
+            m_code = Code::AnswerTooLarge;
+        }
+    }
+
+    Connection &m_connection;
+    const Clock &m_clock;
+    TimePoint m_deadline;
+    std::array<char, BufferBytes> m_buffer;
+    size_t m_at = 0;
+    size_t m_filled = 0;
+    std::array<char, 5> m_last{}; // the last bytes that the library took
+    std::string m_head;
+    bool m_headWhole = false;
+    Code m_code = Code::Ok;
+};
+
+/// Opens the library's reading of answers to a Stream of our own.
+class AnswerReader : public httplib::ClientImpl
+{
+public:
+    AnswerReader()
+        : httplib::ClientImpl("target", 80)
+    {
+        set_decompress(false);
+        set_url_encode(false);
+    }
+    bool read(httplib::Stream &stream, httplib::Request &request, httplib::Response &response)
+    {
+        httplib::Error error = httplib::Error::Success;
+        return process_request(stream, request, response, false, error);
+    }
+};
+
+/// What the head of the answer allows: its code, Ok to read the body.
+Code judgeHead(const AnswerStream &stream, const ExchangeRequest &request, AnswerHead &out)
+{
+    auto head = parseAnswerHead(stream.head(), request.method);
+    if (!head) {
+        return head.error().code;
+    }
+    out = std::move(*head);
+    if (out.framing == BodyFraming::ByClose) {
+        return Code::BadAnswer;
+    }
+    const bool large = out.framing == BodyFraming::Length && out.length > request.maxAnswerBytes;
+    return large ? Code::AnswerTooLarge : Code::Ok;
+}
+
+/// Reads the answer into out; Ok when it is whole.
+Code readAnswer(AnswerStream &stream, const ExchangeRequest &request, ExchangeResult &out)
+{
+    Code code = Code::Ok;
+    bool judged = false;
+    httplib::Request ask;
+    ask.method = request.method;
+    ask.path = "/";
+    ask.response_handler = [&](const httplib::Response &) {
+        judged = true;
+        code = judgeHead(stream, request, out.head);
+        return code == Code::Ok && out.head.framing != BodyFraming::None;
+    };
+    ask.content_receiver = [&](const char *bytes, size_t n, uint64_t, uint64_t) {
+        if (out.body.size() + n > request.maxAnswerBytes) {
+            code = Code::AnswerTooLarge;
+            return false;
+        }
+        out.body.append(bytes, n);
+        return true;
+    };
+    httplib::Response response;
+    AnswerReader reader;
+    const bool whole = reader.read(stream, ask, response);
+    if (!judged && whole) {
+        judged = true;
+        code = judgeHead(stream, request, out.head);
+    }
+    if (code != Code::Ok || (judged && out.head.framing == BodyFraming::None)) {
+        return code;
+    }
+    if (!whole) {
+        return stream.code() == Code::Ok ? Code::BadAnswer : stream.code();
+    }
+    const bool ended =
+        out.head.framing == BodyFraming::Chunked ? stream.chunksEnded() : out.body.size() == out.head.length;
+    return ended ? Code::Ok : Code::BadAnswer;
+}
+
+/// A connection that closes within an answer has cut it short.
+Code asTruncated(Code code, bool anyAnswer)
+{
+    return code == Code::ConnectionLost && anyAnswer ? Code::BadAnswer : code;
+}
+
+} // namespace
+
+ExchangeResult exchange(Connection &connection, const Clock &clock, const ExchangeRequest &request)
+{
+    ExchangeResult out;
+    const std::array<std::string_view, 2> parts{request.head, request.body};
+    const IoResult sent = connection.send(parts, request.deadline - clock.now());
+    out.bytesSent = sent.bytes;
+    if (sent.end == IoEnd::TimedOut) {
+        out.code = Code::AnswerTimeout;
+        return out;
+    }
+    // A target may answer and close before it has read the whole body, so its answer is read all the same.
+    AnswerStream stream(connection, clock, request.deadline);
+    out.code = asTruncated(readAnswer(stream, request, out), stream.anyAnswer());
+    out.anyAnswer = stream.anyAnswer();
+    out.reusable = out.code == Code::Ok && !out.head.close && stream.drained() && sent.end == IoEnd::Done;
+    return out;
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/back/request_head.cpp
@@ -0,0 +1,117 @@
+#include "back/request_head.h"
+
+#include "call/headers.h"
+
+#include <algorithm>
+#include <array>
+
+namespace damask {
+
+namespace {
+
+constexpr size_t HeadReserve = 512; // bytes that most heads fit in
+
+constexpr std::array<std::string_view, 9> HopByHop{"Connection", "Keep-Alive",         "Proxy-Connection",
+                                                   "TE",         "Transfer-Encoding",  "Upgrade",
+                                                   "Trailer",    "Proxy-Authenticate", "Proxy-Authorization"};
+
+/// Fields that damaskflow writes itself, or answers itself (Expect).
+constexpr std::array<std::string_view, 7> WrittenHere{
+    "Host", "Content-Length", "Expect", header::RequestId, header::Deadline, header::Depth, header::Attempt};
+
+std::string_view trimmed(std::string_view text)
+{
+    const size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+bool listHas(std::string_view list, std::string_view name)
+{
+    while (!list.empty()) {
+        const size_t comma = list.find(',');
+        if (sameHeaderName(trimmed(list.substr(0, comma)), name)) {
+            return true;
+        }
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+    }
+    return false;
+}
+
+bool isWrittenHere(std::string_view name)
+{
+    return std::any_of(WrittenHere.begin(), WrittenHere.end(),
+                       [name](std::string_view it) { return sameHeaderName(it, name); });
+}
+
+void appendField(std::string &out, std::string_view name, std::string_view value)
+{
+    out += name;
+    out += ": ";
+    out += value;
+    out += "\r\n";
+}
+
+void appendLine(std::string &out, std::string_view method, std::string_view path, std::string_view host)
+{
+    out.reserve(HeadReserve);
+    out += method;
+    out += ' ';
+    out += path;
+    out += " HTTP/1.1\r\n";
+    appendField(out, "Host", host);
+}
+
+bool hasBody(const CallRequest &request)
+{
+    return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+}
+
+std::string wholeMilliseconds(Duration duration)
+{
+    const auto n = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return std::to_string(std::max<int64_t>(n, 1));
+}
+
+} // namespace
+
+bool isHopByHop(std::string_view name, std::string_view connectionField)
+{
+    const bool known =
+        std::any_of(HopByHop.begin(), HopByHop.end(), [name](std::string_view it) { return sameHeaderName(it, name); });
+    return known || listHas(connectionField, name);
+}
+
+std::string requestHead(const Attempt &attempt, Duration timeLeft)
+{
+    const CallRequest &request = attempt.request;
+    const std::string_view connectionField = headerValue(request.headers, "Connection");
+    std::string out;
+    appendLine(out, request.method, request.path, request.host);
+    for (const HeaderField &it : request.headers) {
+        if (!isHopByHop(it.name, connectionField) && !isWrittenHere(it.name)) {
+            appendField(out, it.name, it.value);
+        }
+    }
+    appendField(out, header::RequestId, request.requestId);
+    appendField(out, header::Deadline, wholeMilliseconds(timeLeft));
+    appendField(out, header::Depth, std::to_string(request.depth + 1));
+    appendField(out, header::Attempt, std::to_string(attempt.number));
+    if (hasBody(request)) {
+        appendField(out, "Content-Length", std::to_string(request.body.size()));
+    }
+    out += "\r\n";
+    return out;
+}
+
+std::string ownRequestHead(std::string_view method, std::string_view path, std::string_view host)
+{
+    std::string out;
+    appendLine(out, method, path, host);
+    out += "\r\n";
+    return out;
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/back/sender.h
@@ -0,0 +1,47 @@
+/// Sends attempts to targets over kept HTTP connections and says for each how far it got.
+///
+/// Use: `Sender sender(clock, metrics, {}); hooks.send = [&](const Attempt &it) { return sender.send(it); };`
+/// Pitfall: send() and probe() block the calling thread until the answer, the deadline or a cancel.
+#pragma once
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "call/message.h"
+#include "route/dispatcher.h"
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+namespace damask {
+
+struct SenderOptions {
+    Duration connectTimeout = std::chrono::milliseconds(250); // for one new connection, within the time left
+    Duration idleLimit = std::chrono::seconds(15);            // an older idle connection is closed, not used
+    Duration freshLimit = std::chrono::milliseconds(500);     // age of the last answer that proves a connection alive
+    size_t   maxAnswerBytes = 16UL * 1024 * 1024;             // of one answer's body; more is AnswerTooLarge
+};
+
+/// Connections held now, for status pages and tests.
+struct ConnectionCounts {
+    int open = 0; // in use and idle
+    int idle = 0;
+};
+
+class Sender
+{
+public:
+    Sender(Clock &clock, Metrics &metrics, const SenderOptions &options);
+    ~Sender(); // closes idle connections; no send() may be running
+
+    AttemptResult      send(const Attempt &attempt);
+    Result<LoadReport> probe(std::string_view address, uint16_t port, Duration timeout); // GET /load; BadAnswer
+    ConnectionCounts   connections(std::string_view address, uint16_t port) const;
+    void               closeIdle(); // those older than idleLimit; call now and then
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace damask
--- a/src/base/lock.h
+++ b/src/base/lock.h
@@ -16,6 +16,7 @@
 enum class LockRank : int {
     Program = 10,       // start and stop of a program
     Server = 20,        // tables of connections (front, operate)
+    Attempt = 25,       // cancelling one attempt of a call
     Control = 30,       // tickets, membership, spreading
     Configuration = 40, // the configuration in force
     Route = 50,         // load tables, queues, budgets
--- a/src/call/cancel.h
+++ b/src/call/cancel.h
@@ -14,7 +14,11 @@
 class CancelToken
 {
 public:
-    CancelToken() = default;
+    /// A token that is cancelled from another's callback needs a rank above that one's: LockRank::Attempt.
+    explicit CancelToken(LockRank rank = LockRank::Server)
+        : m_running(rank)
+    {
+    }
     CancelToken(const CancelToken &) = delete;
     CancelToken &operator=(const CancelToken &) = delete;
 
@@ -31,7 +35,7 @@
     };
 
     mutable RankedMutex m_mutex{LockRank::Route};
-    RankedMutex         m_running{LockRank::Server}; // held while callbacks run, so that forget() can wait for them
+    RankedMutex         m_running; // held while callbacks run, so that forget() can wait for them
     std::vector<Entry>  m_entries;
     uint64_t            m_nextId = 1;
     bool                m_cancelled = false;
--- /dev/null
+++ b/src/route/rules.cpp
@@ -0,0 +1,99 @@
+#include "route/rules.h"
+
+#include <algorithm>
+#include <array>
+
+namespace damask {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> IdempotentMethods{"GET", "HEAD", "OPTIONS", "PUT", "DELETE"};
+
+std::string_view withoutQuery(std::string_view path)
+{
+    return path.substr(0, path.find_first_of("?#"));
+}
+
+bool covers(std::string_view prefix, std::string_view path)
+{
+    if (!path.starts_with(prefix)) {
+        return false;
+    }
+    const bool whole = path.size() == prefix.size();
+    return whole || prefix.empty() || prefix.back() == '/' || path[prefix.size()] == '/';
+}
+
+bool goesBefore(const Rule &rule, const Rule *best)
+{
+    if (best == nullptr) {
+        return true;
+    }
+    if (rule.host.empty() != best->host.empty()) {
+        return best->host.empty();
+    }
+    return rule.prefix.size() > best->prefix.size();
+}
+
+/// Takes one character off the front, reading %2e as a dot.
+char takeCharacter(std::string_view &text)
+{
+    const bool encoded = text.starts_with("%2e") || text.starts_with("%2E");
+    const char out = encoded ? '.' : text.front();
+    text.remove_prefix(encoded ? 3 : 1);
+    return out;
+}
+
+bool isDots(std::string_view segment)
+{
+    size_t dots = 0;
+    while (!segment.empty()) {
+        if (takeCharacter(segment) != '.') {
+            return false;
+        }
+        ++dots;
+    }
+    return dots == 1 || dots == 2;
+}
+
+} // namespace
+
+const Rule *matchRule(std::span<const Rule> rules, std::string_view host, std::string_view path)
+{
+    const std::string_view wanted = withoutQuery(path);
+    const Rule *best = nullptr;
+    for (const Rule &it : rules) {
+        const bool hostFits = it.host.empty() || it.host == host;
+        if (hostFits && covers(it.prefix, wanted) && goesBefore(it, best)) {
+            best = &it;
+        }
+    }
+    return best;
+}
+
+bool isIdempotent(const Rule &rule, std::string_view method)
+{
+    switch (rule.idempotency) {
+    case Idempotency::Always:
+        return true;
+    case Idempotency::Never:
+        return false;
+    case Idempotency::ByMethod:
+        break;
+    }
+    return std::find(IdempotentMethods.begin(), IdempotentMethods.end(), method) != IdempotentMethods.end();
+}
+
+bool hasDotSegment(std::string_view path)
+{
+    std::string_view left = withoutQuery(path);
+    while (!left.empty()) {
+        const size_t slash = left.find('/');
+        if (isDots(left.substr(0, slash))) {
+            return true;
+        }
+        left = slash == std::string_view::npos ? std::string_view() : left.substr(slash + 1);
+    }
+    return false;
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/route/rules.h
@@ -0,0 +1,23 @@
+/// Which rule decides for a request, and what it says of idempotency. Pure.
+#pragma once
+
+#include "config/model.h"
+
+#include <span>
+#include <string_view>
+
+namespace damask {
+
+/// The rule that decides for a host and a path, or null. A rule that names the host goes before one that names none;
+/// among those the longest prefix wins. A prefix matches whole segments: "/pay" covers "/pay" and "/pay/7", but not
+/// "/payments".
+const Rule *matchRule(std::span<const Rule> rules, std::string_view host, std::string_view path);
+
+/// Whether the request may be run twice without harm.
+bool isIdempotent(const Rule &rule, std::string_view method);
+
+/// Whether a path has a segment "." or "..", also written with %2e. A target could resolve it to a path of another
+/// rule.
+bool hasDotSegment(std::string_view path);
+
+} // namespace damask
