Dispatch calls: rules, attempts, retries from a budget, hedges, a ring of reasons

Cause: the entry needs the whole life of a call behind one function. Change: rules match whole segments, host first; a call above depth 0 is retried only after a proven not-run, and hedged never, so that a fault does not multiply down a chain; one timer task serves all hedges; the last calls are kept in fixed-size records. DispatcherHooks gains acquire, finish and status (empty: the balancer's), so that tests need no balancer.

--- a/src/back/sender.cpp
+++ b/src/back/sender.cpp
@@ -98,6 +98,8 @@
     out.code = result.code;
     if (result.code != Code::Ok && attempt.cancel->cancelled()) {
         out.code = Code::Cancelled;
+    } else if (out.end == AttemptEnd::NotSent) {
+        out.code = Code::ConnectFailed;
     }
     if (lease.kept && !result.anyAnswer && result.code != Code::Ok && out.code != Code::Cancelled) {
         table.retireIdle(lease.key, began);
--- /dev/null
+++ b/src/route/dispatcher.cpp
@@ -0,0 +1,249 @@
+#include "route/dispatcher.h"
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "route/dispatcher_state.h"
+#include "route/rules.h"
+
+#include <utility>
+
+namespace damask {
+
+namespace {
+
+constexpr double SnapshotsPerSecond = 10; // records and log lines of failed calls
+constexpr double SnapshotBurst = 20;
+
+float toFloatMs(Duration duration)
+{
+    return static_cast<float>(toMilliseconds(duration));
+}
+
+void fillTarget(WhyTarget &out, const TargetStatus &status)
+{
+    out.name.assign(status.name);
+    out.inFlight = static_cast<uint16_t>(status.inFlight);
+    out.estimate = static_cast<float>(status.estimate);
+    out.reportAge = status.reported ? toFloatMs(status.reportAge) : -1;
+    out.oldestCall = toFloatMs(status.oldestCall);
+    out.typicalTime = toFloatMs(status.typicalTime);
+    out.draining = status.draining;
+    out.ejected = status.ejected;
+}
+
+void logFailure(const WhyRecord &record)
+{
+    logEvent(Severity::Warning, "call-failed",
+             {{"requestId", record.requestId.view()},
+              {"service", record.service.view()},
+              {"outcome", outcomeName(record.outcome)},
+              {"code", codeNumber(record.code)},
+              {"codeName", codeName(record.code)},
+              {"attempts", static_cast<int>(record.attemptCount)}});
+}
+
+} // namespace
+
+Dispatcher::State::State(Clock &runtimeClock, Metrics &metrics, const DispatcherOptions &dispatcherOptions,
+                         DispatcherHooks dispatcherHooks)
+    : clock(runtimeClock)
+    , options(dispatcherOptions)
+    , hooks(std::move(dispatcherHooks))
+    , counters(metrics)
+    , ring(dispatcherOptions.whyEvents)
+    , snapshots({.perSecond = SnapshotsPerSecond, .burst = SnapshotBurst}, runtimeClock.now())
+    , tasksChanged(runtimeClock)
+{
+    timer = std::make_unique<HedgeTimer>(clock, [this](std::function<void()> it) { return runCounted(std::move(it)); });
+}
+
+Dispatcher::State::~State()
+{
+    timer.reset();
+    LockGuard lock(taskMutex);
+    while (tasks > 0) {
+        tasksChanged.wait(lock);
+    }
+}
+
+std::shared_ptr<const RouteTable> Dispatcher::State::current() const
+{
+    LockGuard lock(configurationMutex);
+    return table;
+}
+
+Code Dispatcher::State::admit(CallState &call) const
+{
+    const auto routes = current();
+    if (!routes) {
+        return Code::NoConfiguration;
+    }
+    call.record.revision = routes->revision();
+    if (hasDotSegment(call.request.path)) {
+        return Code::BadRequest;
+    }
+    call.route = routes->find(call.request.host, call.request.path);
+    call.routes = routes;
+    if (call.route.rule == nullptr) {
+        return Code::NoSuchService;
+    }
+    call.record.rule.assign(call.route.rule->name);
+    if (call.route.service == nullptr) {
+        return call.route.rule->service.empty() ? Code::NoRule : Code::NoSuchService;
+    }
+    const Service &service = *call.route.service;
+    call.record.service.assign(service.name);
+    call.idempotent = isIdempotent(*call.route.rule, call.request.method);
+    if (call.request.depth > service.maxDepth) {
+        return Code::DepthExceeded;
+    }
+    const Duration allowed = call.request.timeLeft.value_or(service.deadline);
+    call.record.allowed = toFloatMs(allowed);
+    call.deadline = call.request.arrivedAt + allowed - options.safety;
+    return clock.now() < call.deadline ? Code::Ok : Code::DeadlineTooShort;
+}
+
+Answer Dispatcher::State::run(CallState &call, CancelToken &cancel)
+{
+    call.route.state->budget.earn(clock.now());
+    while (true) {
+        const auto permit = hooks.acquire({.service = call.route.service->name,
+                                           .caller = call.request.caller,
+                                           .dataCentres = call.route.rule->dataCentres,
+                                           .deadline = call.deadline,
+                                           .idempotent = call.idempotent,
+                                           .avoid = call.avoid,
+                                           .bodyBytes = call.request.body.size(),
+                                           .cancel = &cancel});
+        if (!permit) {
+            return conclude(call, cancel.cancelled() ? Code::Cancelled : permit.error().code);
+        }
+        AttemptResult last = attempt(call, *permit, cancel);
+        const RetryReason reason = retryReason(last);
+        const RetryDenial denial = judge(call, last, cancel);
+        WhyAttempt &kept = call.record.attempts[call.firstKept];
+        kept.denial = denial;
+        noteAttempt(call, std::move(last), permit->address->name);
+        if (denial != RetryDenial::None) {
+            counters.denied(denial);
+            return conclude(call, denial == RetryDenial::Cancelled ? Code::Cancelled : Code::Ok);
+        }
+        counters.retry(reason);
+    }
+}
+
+AttemptResult Dispatcher::State::attempt(CallState &call, const Permit &permit, CancelToken &cancel)
+{
+    beginAttempt(call);
+    WhyAttempt &kept = call.record.addAttempt(permit.address->name);
+    call.firstKept = call.record.attemptCount - 1;
+    kept.waited = toFloatMs(permit.waited);
+    AttemptResult out = mayHedge(call) ? sendHedged(call, permit, cancel) : send(call, permit, cancel);
+    fillAttempt(call.record.attempts[call.firstKept], out);
+    return out;
+}
+
+AttemptResult Dispatcher::State::send(const CallState &call, const Permit &permit, CancelToken &cancel)
+{
+    AttemptResult out = hooks.send({.address = *permit.address,
+                                    .request = call.request,
+                                    .timeLeft = call.deadline - clock.now(),
+                                    .number = call.attempts,
+                                    .idempotent = call.idempotent,
+                                    .cancel = &cancel});
+    hooks.finish(permit, {.end = out.end, .code = out.code, .load = out.load, .status = out.answer.status});
+    counters.attempt(out.end);
+    return out;
+}
+
+RetryDenial Dispatcher::State::judge(const CallState &call, const AttemptResult &last, const CancelToken &cancel)
+{
+    if (call.answer && call.answer->status < FirstErrorStatus) {
+        return RetryDenial::NotNeeded; // the hedge has answered
+    }
+    const TimePoint now = clock.now();
+    const RetryDenial out = retryDenial({.last = last,
+                                         .idempotent = call.idempotent,
+                                         .cancelled = cancel.cancelled(),
+                                         .depth = call.request.depth,
+                                         .attempts = call.attempts,
+                                         .timeLeft = call.deadline - now});
+    if (out != RetryDenial::None) {
+        return out;
+    }
+    return call.route.state->budget.spend(now) ? RetryDenial::None : RetryDenial::Budget;
+}
+
+void Dispatcher::State::keep(CallState &call, const Answer &answer)
+{
+    const TimePoint now = clock.now();
+    WhyRecord &record = call.record;
+    record.requestId.assign(call.request.requestId);
+    record.idHash = hashBytes(call.request.requestId);
+    record.endedAt = now;
+    record.idempotent = call.idempotent;
+    record.depth = static_cast<uint16_t>(call.request.depth);
+    record.status = static_cast<uint16_t>(answer.status);
+    record.outcome = answer.outcome;
+    record.code = answer.code;
+    record.took = toFloatMs(now - call.request.arrivedAt);
+    bool snapshot = false;
+    if (answer.outcome != Outcome::Answered) {
+        LockGuard lock(snapshotMutex);
+        snapshot = snapshots.take(1, now);
+    }
+    if (snapshot && call.route.service != nullptr) {
+        for (const TargetStatus &it : hooks.status(call.route.service->name)) {
+            if (record.targetCount < record.targets.size()) {
+                fillTarget(record.targets[record.targetCount], it);
+                ++record.targetCount;
+            }
+        }
+    }
+    if (snapshot) {
+        logFailure(record);
+    }
+    ring.add(record);
+}
+
+Dispatcher::Dispatcher(Clock &clock, Metrics &metrics, const DispatcherOptions &options, DispatcherHooks hooks)
+    : m_state(std::make_unique<State>(clock, metrics, options, std::move(hooks)))
+{
+}
+
+Dispatcher::~Dispatcher() = default;
+
+void Dispatcher::apply(std::shared_ptr<const Configuration> configuration)
+{
+    State &s = *m_state;
+    const TimePoint now = s.clock.now();
+    const auto previous = s.current();
+    const auto states = previous ? previous->states() : RouteTable::States();
+    auto next = std::make_shared<const RouteTable>(std::move(configuration), states, now);
+    LockGuard lock(s.configurationMutex);
+    if (!s.table || s.table->revision() <= next->revision()) {
+        s.table.swap(next);
+    }
+}
+
+Answer Dispatcher::dispatch(const CallRequest &request, CancelToken &cancel)
+{
+    CallState call{.request = request};
+    const Code code = m_state->admit(call);
+    Answer out = code == Code::Ok ? m_state->run(call, cancel) : answerFor(code);
+    m_state->counters.call(out);
+    m_state->keep(call, out);
+    return out;
+}
+
+std::string Dispatcher::why(std::string_view requestId) const
+{
+    return m_state->ring.byRequest(requestId, m_state->clock.now());
+}
+
+std::string Dispatcher::whyService(std::string_view service, size_t most) const
+{
+    return m_state->ring.byService(service, most, m_state->clock.now());
+}
+
+} // namespace damask
--- a/src/route/dispatcher.h
+++ b/src/route/dispatcher.h
@@ -25,10 +25,15 @@
     CancelToken *cancel;             // cancelling closes the attempt's connection; never null
 };
 
-/// What varies: how an attempt is sent, and how work is run beside the caller's thread (hedges).
+/// What varies: how an attempt is sent, how work is run beside the caller's thread (hedges), and who grants permits.
 struct DispatcherHooks {
     std::function<AttemptResult(const Attempt &)> send;      // blocks until the attempt ended
     std::function<bool(std::function<void()>)>    runBeside; // false when no thread is free; empty: no hedges
+
+    // Empty: the balancer's functions of these names.
+    std::function<Result<Permit>(const AcquireRequest &)>              acquire;
+    std::function<void(const Permit &, const PermitReport &)>          finish;
+    std::function<std::vector<TargetStatus>(std::string_view service)> status;
 };
 
 struct DispatcherOptions {
@@ -41,7 +46,9 @@
 public:
     Dispatcher(Clock &clock, Metrics &metrics, Balancer &balancer, const DispatcherOptions &options,
                DispatcherHooks hooks);
-    ~Dispatcher();
+    Dispatcher(Clock &clock, Metrics &metrics, const DispatcherOptions &options,
+               DispatcherHooks hooks); // without a balancer: hooks has acquire, finish and status
+    ~Dispatcher();                     // waits for hedges that still run; no dispatch() may be running
 
     void        apply(std::shared_ptr<const Configuration> configuration); // the balancer gets it first
     Answer      dispatch(const CallRequest &request, CancelToken &cancel);
--- /dev/null
+++ b/src/route/dispatcher_balancer.cpp
@@ -0,0 +1,36 @@
+#include "route/dispatcher.h"
+
+namespace damask {
+
+namespace {
+
+/// Fills the hooks that are empty with the balancer's functions.
+DispatcherHooks withBalancer(DispatcherHooks hooks, Balancer &balancer)
+{
+    if (!hooks.acquire) {
+        hooks.acquire = [&balancer](const AcquireRequest &it) {
+            return balancer.acquire(it);
+        };
+    }
+    if (!hooks.finish) {
+        hooks.finish = [&balancer](const Permit &permit, const PermitReport &it) {
+            balancer.finish(permit, it);
+        };
+    }
+    if (!hooks.status) {
+        hooks.status = [&balancer](std::string_view service) {
+            return balancer.status(service);
+        };
+    }
+    return hooks;
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(Clock &clock, Metrics &metrics, Balancer &balancer, const DispatcherOptions &options,
+                       DispatcherHooks hooks)
+    : Dispatcher(clock, metrics, options, withBalancer(std::move(hooks), balancer))
+{
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/route/dispatcher_metrics.cpp
@@ -0,0 +1,75 @@
+#include "route/dispatcher_metrics.h"
+
+namespace damask {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> AttemptEnds{"not-sent", "refused", "answered", "lost"};
+constexpr std::array<std::string_view, 6> HedgeEnds{"won", "lost", "failed", "no-budget", "no-target", "no-thread"};
+
+template<class T>
+size_t position(T value)
+{
+    return static_cast<size_t>(value);
+}
+
+} // namespace
+
+DispatcherMetrics::DispatcherMetrics(Metrics &metrics)
+{
+    for (const Outcome it : {Outcome::Answered, Outcome::NotRun, Outcome::Unknown}) {
+        m_calls[position(it)] = &metrics.counter("damask_calls_total", {{"outcome", outcomeName(it)}});
+    }
+    for (size_t n = 0; n < AttemptEnds.size(); ++n) {
+        m_attempts[n] = &metrics.counter("damask_attempts_total", {{"end", AttemptEnds[n]}});
+    }
+    for (auto it = RetryReason::NotSent; it <= RetryReason::Unavailable; it = RetryReason(position(it) + 1)) {
+        m_retries[position(it)] = &metrics.counter("damask_retries_total", {{"reason", retryReasonName(it)}});
+    }
+    for (auto it = RetryDenial::Cancelled; it <= RetryDenial::Budget; it = RetryDenial(position(it) + 1)) {
+        m_denials[position(it)] = &metrics.counter("damask_retry_denials_total", {{"reason", retryDenialName(it)}});
+    }
+    for (size_t n = 0; n < HedgeEnds.size(); ++n) {
+        m_hedges[n] = &metrics.counter("damask_hedges_total", {{"end", HedgeEnds[n]}});
+    }
+    for (const CodeInfo &it : codeTable()) {
+        if (codeNumber(it.code) >= 100 && codeNumber(it.code) < 400) {
+            m_codes.emplace(it.code, &metrics.counter("damask_call_failures_total", {{"code", it.name}}));
+        }
+    }
+}
+
+void DispatcherMetrics::call(const Answer &answer)
+{
+    m_calls[position(answer.outcome)]->Increment();
+    const auto it = m_codes.find(answer.code);
+    if (it != m_codes.end()) {
+        it->second->Increment();
+    }
+}
+
+void DispatcherMetrics::attempt(AttemptEnd end)
+{
+    m_attempts[position(end)]->Increment();
+}
+
+void DispatcherMetrics::retry(RetryReason reason)
+{
+    if (reason != RetryReason::None) {
+        m_retries[position(reason)]->Increment();
+    }
+}
+
+void DispatcherMetrics::denied(RetryDenial denial)
+{
+    if (denial >= RetryDenial::Cancelled) {
+        m_denials[position(denial)]->Increment();
+    }
+}
+
+void DispatcherMetrics::hedge(HedgeEnd end)
+{
+    m_hedges[position(end)]->Increment();
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/route/hedge.cpp
@@ -0,0 +1,214 @@
+#include "route/hedge.h"
+
+#include "base/check.h"
+#include "base/scope.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace damask {
+
+namespace {
+
+constexpr double Step = 0.05;     // how far one answer moves the estimate, as a share of it
+constexpr double Quantile = 0.95; // share of answers that stay under the estimate
+constexpr int FirstError = 500;   // statuses from here on do not win a race
+
+} // namespace
+
+bool winsRace(const AttemptResult &result)
+{
+    return result.end == AttemptEnd::Answered && result.answer.status < FirstError;
+}
+
+void HedgeDelay::note(Duration answerTime)
+{
+    const int64_t seen = std::max<int64_t>(answerTime.count(), 1);
+    const int64_t now = m_estimate.load(std::memory_order_relaxed);
+    const double factor = seen > now ? 1 + Step * Quantile : 1 - Step * (1 - Quantile);
+    const int64_t next = now == 0 ? seen : static_cast<int64_t>(static_cast<double>(now) * factor) + 1;
+    m_estimate.store(next, std::memory_order_relaxed); // a lost update costs one sample
+}
+
+Duration HedgeDelay::typicalMost() const
+{
+    return Duration(m_estimate.load(std::memory_order_relaxed));
+}
+
+HedgeRace::HedgeRace(Clock &clock, const CallRequest &request, std::string_view firstTarget, Hedge hedge)
+    : m_changed(clock)
+    , m_hedge(std::move(hedge))
+    , m_original(&request)
+    , m_firstTarget(firstTarget)
+{
+}
+
+CancelToken &HedgeRace::first()
+{
+    return m_first;
+}
+
+void HedgeRace::cancelBoth()
+{
+    m_first.cancel();
+    m_second.cancel();
+}
+
+HedgeOutcome HedgeRace::close(bool wait, TimePoint until)
+{
+    HedgeOutcome out;
+    bool running = false;
+    {
+        LockGuard lock(m_mutex);
+        while (wait && m_began && !m_ended && m_changed.waitUntil(lock, until)) { }
+        m_closed = true;
+        running = m_began && !m_ended;
+        out.began = m_began;
+        out.ended = std::exchange(m_result, std::nullopt);
+    }
+    if (running) {
+        m_second.cancel();
+    }
+    return out;
+}
+
+void HedgeRace::run()
+{
+    m_hedge(*this);
+}
+
+bool HedgeRace::begin()
+{
+    LockGuard lock(m_mutex);
+    if (m_closed) {
+        return false;
+    }
+    m_copy = *m_original;
+    m_began = true;
+    return true;
+}
+
+CancelToken &HedgeRace::second()
+{
+    return m_second;
+}
+
+const CallRequest &HedgeRace::request() const
+{
+    return m_copy;
+}
+
+const std::string &HedgeRace::firstTarget() const
+{
+    return m_firstTarget;
+}
+
+bool HedgeRace::end(std::optional<HedgeResult> result)
+{
+    const bool won = result && winsRace(result->result);
+    {
+        LockGuard lock(m_mutex);
+        DAMASK_ASSERT(m_began && !m_ended, "end a hedge once after it began");
+        m_ended = true;
+        if (m_closed) {
+            return false;
+        }
+        m_result = std::move(result);
+        m_changed.notifyAll();
+    }
+    if (won) {
+        m_first.cancel();
+    }
+    return true;
+}
+
+HedgeTimer::HedgeTimer(Clock &clock, Run run)
+    : m_clock(clock)
+    , m_run(std::move(run))
+    , m_changed(clock)
+{
+}
+
+HedgeTimer::~HedgeTimer()
+{
+    LockGuard lock(m_mutex);
+    m_closed = true;
+    m_changed.notifyAll();
+    while (m_running) {
+        m_changed.wait(lock);
+    }
+}
+
+bool HedgeTimer::arm(TimePoint due, std::weak_ptr<HedgeRace> race)
+{
+    {
+        LockGuard lock(m_mutex);
+        m_pending.push_back({due, std::move(race)});
+        std::push_heap(m_pending.begin(), m_pending.end(), later);
+        if (m_running) {
+            if (m_pending.front().due == due) {
+                m_changed.notifyAll();
+            }
+            return true;
+        }
+        m_running = true;
+    }
+    return start();
+}
+
+bool HedgeTimer::later(const Entry &left, const Entry &right)
+{
+    return left.due > right.due;
+}
+
+bool HedgeTimer::start()
+{
+    // A pool that drops the task unrun destroys the guard with it, and so the timer never waits for a lost task.
+    const auto unrun = std::make_shared<ScopeGuard>([this] { drop(); });
+    return m_run([this, unrun] {
+        unrun->dismiss();
+        work();
+    });
+}
+
+void HedgeTimer::work()
+{
+    for (auto race = take(); race; race = take()) {
+        m_run([race] { race->run(); });
+    }
+}
+
+void HedgeTimer::drop()
+{
+    LockGuard lock(m_mutex);
+    m_pending.clear();
+    m_running = false;
+    m_changed.notifyAll();
+}
+
+std::shared_ptr<HedgeRace> HedgeTimer::take()
+{
+    LockGuard lock(m_mutex);
+    while (!m_closed && !m_pending.empty()) {
+        if (m_pending.front().race.expired()) {
+            popFront();
+        } else if (m_clock.now() < m_pending.front().due) {
+            m_changed.waitUntil(lock, m_pending.front().due);
+        } else if (auto race = popFront().race.lock()) {
+            return race;
+        }
+    }
+    m_running = false;
+    m_changed.notifyAll();
+    return nullptr;
+}
+
+HedgeTimer::Entry HedgeTimer::popFront()
+{
+    std::pop_heap(m_pending.begin(), m_pending.end(), later);
+    Entry out = std::move(m_pending.back());
+    m_pending.pop_back();
+    return out;
+}
+
+} // namespace damask
--- a/src/route/retry.cpp
+++ b/src/route/retry.cpp
@@ -116,7 +116,7 @@
 bool RetryBudget::spend(TimePoint now)
 {
     LockGuard lock(m_mutex);
-    return m_bucket.take(1, now);
+    return m_ratio > 0 && m_bucket.take(1, now);
 }
 
 double RetryBudget::level(TimePoint now)
