Read, apply and compare tickets as plain values

Cause: operators change the configuration by numbered tickets only, and there was a model but no way to change it.

--- /dev/null
+++ b/src/config/apply.cpp
@@ -0,0 +1,140 @@
+#include "config/apply.h"
+
+#include "config/diff.h"
+#include "config/kind.h"
+#include "config/validate.h"
+
+namespace damask {
+
+namespace {
+
+void addLine(std::string &out, std::string_view line)
+{
+    out += out.empty() ? "" : "\n";
+    out += line;
+}
+
+template<class T>
+std::string placeOf(const Ticket &ticket, const Change<T> &change)
+{
+    return ticket.source + ":" + std::to_string(change.line) + ": " + std::string(Kind<T>::Word) + " "
+           + change.next.name;
+}
+
+/// Tells how one change is stale, with a diff from what is there now to what the ticket asks for.
+template<class T>
+void explainStale(std::string &out, const Ticket &ticket, const Change<T> &change, const T *current)
+{
+    const std::string now = current == nullptr ? "is not there" : "is at version " + std::to_string(current->version);
+    const std::string built =
+        change.basedOn == 0 ? "takes it as new" : "was built on version " + std::to_string(change.basedOn);
+    addLine(out, placeOf(ticket, change) + ": the ticket " + built + ", but it " + now
+                     + "; look at the difference and submit it again under a new number");
+    std::vector<std::string> lines;
+    diffThing<T>(lines, current, change.remove ? nullptr : &change.next);
+    for (const std::string &it : lines) {
+        addLine(out, "  " + it);
+    }
+}
+
+template<class T>
+void applyChange(std::vector<T> &things, const Change<T> &change, uint64_t revision)
+{
+    std::erase_if(things, [&](const T &it) { return it.name == change.next.name; });
+    if (change.remove) {
+        return;
+    }
+    things.push_back(change.next);
+    things.back().version = change.basedOn == 0 ? revision : change.basedOn + 1;
+}
+
+std::string describeProblems(const Ticket &ticket, std::span<const Problem> problems)
+{
+    std::string out;
+    for (const Problem &it : problems) {
+        int line = 0;
+        forEachKind([&]<class T>() {
+            const auto *change = it.kind == Kind<T>::Word ? findNamed(ticket.*Kind<T>::Changes, it.name) : nullptr;
+            line = change != nullptr ? change->line : line;
+        });
+        const std::string where = line > 0 ? ":" + std::to_string(line) : "";
+        addLine(out, ticket.source + where + ": " + std::string(it.kind) + " " + it.name + ": " + it.what);
+    }
+    return out;
+}
+
+} // namespace
+
+Result<Configuration> applyTicket(const Configuration &configuration, const Ticket &ticket)
+{
+    Configuration next = configuration;
+    next.revision = configuration.revision + 1;
+    std::string stale;
+    forEachKind([&]<class T>() {
+        auto &things = next.*Kind<T>::Things;
+        for (const Change<T> &it : ticket.*Kind<T>::Changes) {
+            const T *current = findNamed(configuration.*Kind<T>::Things, it.next.name);
+            if (it.basedOn != (current == nullptr ? 0 : current->version)) {
+                explainStale(stale, ticket, it, current);
+            }
+            applyChange(things, it, next.revision);
+        }
+        sortByName(things);
+    });
+    if (!stale.empty()) {
+        return fail(Code::StaleTicket, stale);
+    }
+    const std::vector<Problem> problems = findProblems(next);
+    if (!problems.empty()) {
+        return fail(Code::BadTicket, describeProblems(ticket, problems));
+    }
+    return next;
+}
+
+bool touchInCommon(const Ticket &first, const Ticket &second)
+{
+    bool common = false;
+    forEachKind([&]<class T>() {
+        for (const Change<T> &it : first.*Kind<T>::Changes) {
+            const auto same = [&](const Change<T> &other) {
+                return other.next.name == it.next.name;
+            };
+            const auto &others = second.*Kind<T>::Changes;
+            common = common || std::any_of(others.begin(), others.end(), same);
+        }
+    });
+    return common;
+}
+
+Ticket ticketBack(const Configuration &before, const Configuration &after, const Configuration &now)
+{
+    Ticket ticket;
+    forEachKind([&]<class T>() {
+        const auto add = [&](std::string_view name, const T *target) {
+            const T *current = findNamed(now.*Kind<T>::Things, name);
+            Change<T> change;
+            change.basedOn = current == nullptr ? 0 : current->version;
+            change.remove = target == nullptr;
+            change.next = target != nullptr ? *target : T{};
+            change.next.name = name;
+            if (current != nullptr || target != nullptr) {
+                (ticket.*Kind<T>::Changes).push_back(std::move(change));
+            }
+        };
+        for (const T &it : before.*Kind<T>::Things) {
+            const T *changed = findNamed(after.*Kind<T>::Things, it.name);
+            if (changed == nullptr || changed->version != it.version) {
+                add(it.name, &it);
+            }
+        }
+        for (const T &it : after.*Kind<T>::Things) {
+            if (findNamed(before.*Kind<T>::Things, it.name) == nullptr) {
+                add(it.name, nullptr);
+            }
+        }
+        sortByName(ticket.*Kind<T>::Changes);
+    });
+    return ticket;
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/config/apply.h
@@ -0,0 +1,23 @@
+/// Applying a ticket to a configuration.
+#pragma once
+
+#include "base/result.h"
+#include "config/model.h"
+#include "config/ticket.h"
+
+namespace damask {
+
+/// The configuration that the ticket asks for; its revision is one above. It is valid as a whole.
+///
+/// StaleTicket with a diff against what is there now, when the ticket was built on another version of something;
+/// BadTicket with all problems, when the whole would not be valid. The version of a changed thing rises by one.
+/// A new thing starts at the new revision, so that a name that comes back never repeats a version.
+Result<Configuration> applyTicket(const Configuration &configuration, const Ticket &ticket);
+
+/// True when two tickets name a thing in common.
+bool touchInCommon(const Ticket &first, const Ticket &second);
+
+/// The ticket that takes back what changed from before to after, built on the versions of now. Its head is empty.
+Ticket ticketBack(const Configuration &before, const Configuration &after, const Configuration &now);
+
+} // namespace damask
--- /dev/null
+++ b/src/config/diff.cpp
@@ -0,0 +1,114 @@
+#include "config/diff.h"
+
+#include "config/field.h"
+#include "config/kind.h"
+
+#include <set>
+
+namespace damask {
+
+namespace {
+
+void diffTarget(std::vector<std::string> &out, std::string_view pool, const Target *before, const Target *after)
+{
+    const std::string name = (before != nullptr ? before : after)->name;
+    const std::string head = "pool " + std::string(pool) + ": target " + name;
+    if (before == nullptr) {
+        out.push_back("+ " + head + " = " + writeTarget(*after));
+        return;
+    }
+    if (after == nullptr) {
+        out.push_back("- " + head + " = " + writeTarget(*before));
+        return;
+    }
+    if (*before != *after) {
+        out.push_back("~ " + head + ": " + writeTarget(*before) + " -> " + writeTarget(*after));
+    }
+}
+
+template<class Things>
+std::set<std::string> namesOfBoth(const Things &before, const Things &after)
+{
+    std::set<std::string> names;
+    for (const auto &it : before) {
+        names.insert(it.name);
+    }
+    for (const auto &it : after) {
+        names.insert(it.name);
+    }
+    return names;
+}
+
+void diffTargets(std::vector<std::string> &out, std::string_view pool, std::span<const Target> before,
+                 std::span<const Target> after)
+{
+    for (const std::string &it : namesOfBoth(before, after)) {
+        diffTarget(out, pool, findNamed(before, it), findNamed(after, it));
+    }
+}
+
+template<class T>
+std::string fieldsText(const T &thing)
+{
+    std::string out;
+    for (const Field<T> &it : fieldsOf<T>()) {
+        out += (out.empty() ? ": " : ", ") + std::string(it.key) + " " + it.write(thing);
+    }
+    return out;
+}
+
+template<class T>
+void diffFields(std::vector<std::string> &out, const T &before, const T &after)
+{
+    for (const Field<T> &it : fieldsOf<T>()) {
+        const std::string was = it.write(before);
+        const std::string is = it.write(after);
+        if (was != is) {
+            out.push_back("~ " + std::string(Kind<T>::Word) + " " + before.name + ": " + std::string(it.key) + " " + was
+                          + " -> " + is);
+        }
+    }
+}
+
+} // namespace
+
+template<class T>
+void diffThing(std::vector<std::string> &out, const T *before, const T *after)
+{
+    if (before == nullptr && after == nullptr) {
+        return;
+    }
+    const T &there = after != nullptr ? *after : *before;
+    const std::string head = std::string(Kind<T>::Word) + " " + there.name;
+    if (before == nullptr || after == nullptr) {
+        out.push_back((before == nullptr ? "+ " : "- ") + head + fieldsText(there));
+    } else {
+        diffFields(out, *before, *after);
+    }
+    if constexpr (std::is_same_v<T, Pool>) {
+        diffTargets(out, there.name, before != nullptr ? std::span(before->targets) : std::span<const Target>(),
+                    after != nullptr ? std::span(after->targets) : std::span<const Target>());
+    }
+}
+
+template void diffThing(std::vector<std::string> &out, const Service *before, const Service *after);
+template void diffThing(std::vector<std::string> &out, const Pool *before, const Pool *after);
+template void diffThing(std::vector<std::string> &out, const Rule *before, const Rule *after);
+template void diffThing(std::vector<std::string> &out, const DataCentre *before, const DataCentre *after);
+template void diffThing(std::vector<std::string> &out, const Link *before, const Link *after);
+template void diffThing(std::vector<std::string> &out, const PeerKey *before, const PeerKey *after);
+
+std::vector<std::string> diff(const Configuration &before, const Configuration &after)
+{
+    std::vector<std::string> out;
+    forEachKind([&]<class T>() {
+        const auto &was = before.*Kind<T>::Things;
+        const auto &is = after.*Kind<T>::Things;
+        for (const std::string &it : namesOfBoth(was, is)) {
+            diffThing<T>(out, findNamed(was, it), findNamed(is, it));
+        }
+    });
+    return out;
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/config/rule_match.cpp
@@ -0,0 +1,27 @@
+#include "config/rule_match.h"
+
+namespace damask {
+
+bool ruleMatches(const Rule &rule, std::string_view host, std::string_view path)
+{
+    return (rule.host.empty() || rule.host == host) && path.starts_with(rule.prefix);
+}
+
+const Rule *decidingRule(std::span<const Rule> rules, std::string_view host, std::string_view path)
+{
+    const Rule *best = nullptr;
+    for (const Rule &it : rules) {
+        if (!ruleMatches(it, host, path)) {
+            continue;
+        }
+        const bool namesHost = best != nullptr && it.host.empty() != best->host.empty() && !it.host.empty();
+        const bool longer =
+            best != nullptr && it.host.empty() == best->host.empty() && it.prefix.size() > best->prefix.size();
+        if (best == nullptr || namesHost || longer) {
+            best = &it;
+        }
+    }
+    return best;
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/config/rule_match.h
@@ -0,0 +1,17 @@
+/// Which rule decides for a request.
+#pragma once
+
+#include "config/model.h"
+
+#include <span>
+#include <string_view>
+
+namespace damask {
+
+/// True when the rule speaks for the host (without port, lower case) and path.
+bool ruleMatches(const Rule &rule, std::string_view host, std::string_view path);
+
+/// The rule that decides: one that names the host goes first, then the longest prefix. nullptr: none matches.
+const Rule *decidingRule(std::span<const Rule> rules, std::string_view host, std::string_view path);
+
+} // namespace damask
--- /dev/null
+++ b/src/config/ticket.cpp
@@ -0,0 +1,325 @@
+#include "config/ticket.h"
+
+#include "base/hash.h"
+#include "config/field.h"
+#include "config/kind.h"
+#include "settings/ini.h"
+#include "settings/settings.h"
+
+#include <set>
+
+namespace damask {
+
+namespace {
+
+constexpr std::string_view BasedOnKey = "based-on";
+constexpr std::string_view RemoveKey = "remove";
+
+/// Gathers a ticket and all errors of its text.
+class Reader
+{
+public:
+    explicit Reader(std::string_view source)
+        : m_source(source)
+    {
+        ticket.source = source;
+    }
+
+    void takeSection(const IniSection &section)
+    {
+        if (section.kind == "ticket") {
+            takeHead(section);
+            return;
+        }
+        std::vector<std::string_view> kinds = {"ticket"};
+        bool taken = false;
+        forEachKind([&]<class T>() {
+            kinds.push_back(Kind<T>::Word);
+            if (section.kind == Kind<T>::Word) {
+                takeThing<T>(section);
+                taken = true;
+            }
+        });
+        if (!taken) {
+            complain(section.line, "unknown section [" + section.kind
+                                       + "]; allowed are ticket, data-centre, link, pool, "
+                                         "service, rule and key; nearest is ["
+                                       + std::string(nearestName(section.kind, kinds)) + "]");
+        }
+    }
+
+    void finish()
+    {
+        if (!m_headSeen) {
+            complain(1, "[ticket] is missing: it holds number, operator and comment");
+        }
+        if (!m_thingSeen) {
+            complain(1, "the ticket changes nothing: add a section such as [pool NAME]");
+        }
+        forEachKind([&]<class T>() { sortByName(ticket.*Kind<T>::Changes); });
+    }
+
+    Ticket ticket;
+    std::string errors;
+
+private:
+    void takeHead(const IniSection &section)
+    {
+        m_headSeen = true;
+        m_keys.clear();
+        for (const IniEntry &it : section.entries) {
+            if (!once(it)) {
+                continue;
+            }
+            takeHeadEntry(it);
+        }
+        if (!section.name.empty()) {
+            complain(section.line, "[ticket] takes no name; write number = " + section.name);
+        }
+        if (ticket.number == 0) {
+            complain(section.line, "[ticket] number is missing: a whole number that no ticket had before");
+        }
+        if (ticket.operatorName.empty()) {
+            complain(section.line, "[ticket] operator is missing: the name of who answers for the ticket");
+        }
+    }
+
+    void takeHeadEntry(const IniEntry &entry)
+    {
+        if (entry.key == "number") {
+            const auto number = parseNumber(entry.value);
+            const bool allowed = number && *number >= 1 && static_cast<uint64_t>(*number) <= MostTicketNumber;
+            ticket.number = allowed ? static_cast<uint64_t>(*number) : 0;
+            check(allowed, entry, "a whole number from 1 to " + std::to_string(MostTicketNumber));
+            return;
+        }
+        if (entry.key == "operator") {
+            ticket.operatorName = entry.value;
+            check(validName(entry.value), entry, "letters, digits, '.', '_' and '-', at most 40 bytes");
+            return;
+        }
+        if (entry.key == "comment") {
+            ticket.comment = entry.value;
+            check(entry.value.size() <= MostCommentBytes, entry,
+                  "at most " + std::to_string(MostCommentBytes) + " bytes");
+            return;
+        }
+        if (entry.key == "allow-capacity-loss") {
+            const auto flag = parseFlag(entry.value);
+            ticket.allowCapacityLoss = flag.value_or(false);
+            check(flag.has_value(), entry, "yes or no");
+            return;
+        }
+        unknownKey(entry, {"number", "operator", "comment", "allow-capacity-loss"});
+    }
+
+    template<class T>
+    void takeThing(const IniSection &section)
+    {
+        m_thingSeen = true;
+        m_keys.clear();
+        Change<T> change;
+        change.line = section.line;
+        change.next.name = section.name;
+        if (!validName(section.name)) {
+            complain(section.line, "[" + section.kind
+                                       + " NAME] needs a name: letters, digits, '.', '_' and '-', at most "
+                                       + std::to_string(MostNameBytes) + " bytes");
+        }
+        for (const IniEntry &it : section.entries) {
+            takeThingEntry(change, it);
+        }
+        requireFields(change, section);
+        (ticket.*Kind<T>::Changes).push_back(std::move(change));
+    }
+
+    template<class T>
+    void takeThingEntry(Change<T> &change, const IniEntry &entry)
+    {
+        if (!once(entry)) {
+            return;
+        }
+        if (entry.key == BasedOnKey) {
+            const auto version = parseNumber(entry.value);
+            check(version && *version >= 0, entry, "the version that the new state was built on; 0: it is new");
+            change.basedOn = static_cast<uint64_t>(version.value_or(0));
+            return;
+        }
+        if (entry.key == RemoveKey) {
+            const auto flag = parseFlag(entry.value);
+            check(flag.has_value(), entry, "yes or no");
+            change.remove = flag.value_or(false);
+            return;
+        }
+        if constexpr (std::is_same_v<T, Pool>) {
+            takeTarget(change.next, entry);
+        } else {
+            takeField(change.next, entry);
+        }
+    }
+
+    template<class T>
+    void takeField(T &thing, const IniEntry &entry)
+    {
+        std::vector<std::string_view> keys = {BasedOnKey, RemoveKey};
+        for (const Field<T> &it : fieldsOf<T>()) {
+            if (it.key == entry.key) {
+                check(it.read(thing, entry.value), entry, it.allowed);
+                return;
+            }
+            keys.push_back(it.key);
+        }
+        unknownKey(entry, keys);
+    }
+
+    void takeTarget(Pool &pool, const IniEntry &entry)
+    {
+        if (!entry.key.starts_with(TargetPrefix)) {
+            unknownKey(entry, {BasedOnKey, RemoveKey, "target-NAME"});
+            return;
+        }
+        Target target;
+        target.name = entry.key.substr(TargetPrefix.size());
+        if (!validName(target.name)) {
+            complain(entry.line, entry.key + ": the target's name stands after target-, as in target-a1");
+        }
+        const std::string wrong = readTarget(target, entry.value);
+        if (!wrong.empty()) {
+            complain(entry.line, entry.key + " = " + entry.value + ": " + wrong);
+        }
+        pool.targets.push_back(std::move(target));
+        sortByName(pool.targets);
+    }
+
+    template<class T>
+    void requireFields(const Change<T> &change, const IniSection &section)
+    {
+        const std::string where = "[" + section.kind + " " + section.name + "] ";
+        if (!m_keys.contains(std::string(BasedOnKey))) {
+            complain(section.line, where + "based-on is missing: the version you built on, or 0 for a new one");
+        }
+        if (change.remove) {
+            const bool more = m_keys.size() > 2;
+            if (more || change.basedOn == 0) {
+                complain(section.line,
+                         where + "remove = yes needs based-on with the current version, and nothing else");
+            }
+            return;
+        }
+        for (const Field<T> &it : fieldsOf<T>()) {
+            if (it.required && !m_keys.contains(std::string(it.key))) {
+                complain(section.line, where + std::string(it.key) + " is missing: " + it.allowed);
+            }
+        }
+    }
+
+    bool once(const IniEntry &entry)
+    {
+        if (m_keys.insert(entry.key).second) {
+            return true;
+        }
+        complain(entry.line, entry.key + " stands twice in its section");
+        return false;
+    }
+
+    void check(bool allowed, const IniEntry &entry, std::string_view what)
+    {
+        if (!allowed) {
+            complain(entry.line, entry.key + " = " + entry.value + ": allowed is " + std::string(what));
+        }
+    }
+
+    void unknownKey(const IniEntry &entry, std::span<const std::string_view> keys)
+    {
+        complain(entry.line, "unknown key " + entry.key + "; nearest is " + std::string(nearestName(entry.key, keys)));
+    }
+
+    void unknownKey(const IniEntry &entry, std::initializer_list<std::string_view> keys)
+    {
+        unknownKey(entry, std::span(keys.begin(), keys.size()));
+    }
+
+    void complain(int line, std::string_view what)
+    {
+        errors += errors.empty() ? "" : "\n";
+        errors += std::string(m_source) + ":" + std::to_string(line) + ": " + std::string(what);
+    }
+
+    std::string_view m_source;
+    std::set<std::string> m_keys; // of the section being read
+    bool m_headSeen = false;
+    bool m_thingSeen = false;
+};
+
+template<class T>
+void renderChange(std::string &out, const Change<T> &change)
+{
+    out += "\n[" + std::string(Kind<T>::Word) + " " + change.next.name + "]\n";
+    out += "based-on = " + std::to_string(change.basedOn) + "\n";
+    if (change.remove) {
+        out += "remove = yes\n";
+        return;
+    }
+    for (const Field<T> &it : fieldsOf<T>()) {
+        out += std::string(it.key) + " = " + it.write(change.next) + "\n";
+    }
+    if constexpr (std::is_same_v<T, Pool>) {
+        for (const Target &it : change.next.targets) {
+            out += std::string(TargetPrefix) + it.name + " = " + writeTarget(it) + "\n";
+        }
+    }
+}
+
+} // namespace
+
+Result<Ticket> parseTicket(std::string_view text, std::string_view source)
+{
+    if (text.size() > MostTicketBytes) {
+        return fail(Code::BadTicket,
+                    std::string(source) + ": longer than " + std::to_string(MostTicketBytes) + " bytes");
+    }
+    const auto sections = readIni(text, source);
+    if (!sections) {
+        return fail(Code::BadTicket, sections.error().detail);
+    }
+    Reader reader(source);
+    for (const IniSection &it : *sections) {
+        reader.takeSection(it);
+    }
+    reader.finish();
+    if (!reader.errors.empty()) {
+        return fail(Code::BadTicket, reader.errors);
+    }
+    return std::move(reader.ticket);
+}
+
+std::string renderTicket(const Ticket &ticket)
+{
+    std::string out = "[ticket]\nnumber = " + std::to_string(ticket.number) + "\noperator = " + ticket.operatorName
+                      + "\ncomment = " + ticket.comment
+                      + "\nallow-capacity-loss = " + (ticket.allowCapacityLoss ? "yes" : "no") + "\n";
+    forEachKind([&]<class T>() {
+        for (const Change<T> &it : ticket.*Kind<T>::Changes) {
+            renderChange(out, it);
+        }
+    });
+    return out;
+}
+
+Ticket ticketFrom(const Configuration &configuration)
+{
+    Ticket ticket;
+    forEachKind([&]<class T>() {
+        for (const T &it : configuration.*Kind<T>::Things) {
+            (ticket.*Kind<T>::Changes).push_back({.next = it, .basedOn = it.version, .remove = false, .line = 0});
+        }
+    });
+    return ticket;
+}
+
+uint64_t contentHash(const Ticket &ticket)
+{
+    return hashBytes(renderTicket(ticket));
+}
+
+} // namespace damask
