Submit tickets through damaskctl and the keeper's routes

Cause: the whole path needs a ticket to get from an operator's file into the store's document. Change: TicketDesk decides over the document by compare-and-swap and settles lost answers by reading back; staged tickets are accepted once decideAcceptance() says so; routes on the operators' port; damaskctl submits, checks, shows, lists, withdraws, goes back and exports. OperateServer takes a folder by "/*".

--- a/src/config/apply.cpp
+++ b/src/config/apply.cpp
@@ -106,35 +106,43 @@
     return common;
 }
 
-Ticket ticketBack(const Configuration &before, const Configuration &after, const Configuration &now)
+Ticket ticketBack(const Configuration &before, const Configuration &after)
 {
     Ticket ticket;
     forEachKind([&]<class T>() {
-        const auto add = [&](std::string_view name, const T *target) {
-            const T *current = findNamed(now.*Kind<T>::Things, name);
-            Change<T> change;
-            change.basedOn = current == nullptr ? 0 : current->version;
-            change.remove = target == nullptr;
-            change.next = target != nullptr ? *target : T{};
-            change.next.name = name;
-            if (current != nullptr || target != nullptr) {
-                (ticket.*Kind<T>::Changes).push_back(std::move(change));
-            }
-        };
+        auto &changes = ticket.*Kind<T>::Changes;
         for (const T &it : before.*Kind<T>::Things) {
             const T *changed = findNamed(after.*Kind<T>::Things, it.name);
             if (changed == nullptr || changed->version != it.version) {
-                add(it.name, &it);
+                changes.push_back({.next = it, .basedOn = changed == nullptr ? 0 : changed->version});
             }
         }
         for (const T &it : after.*Kind<T>::Things) {
             if (findNamed(before.*Kind<T>::Things, it.name) == nullptr) {
-                add(it.name, nullptr);
+                changes.push_back({.next = it, .basedOn = it.version, .remove = true});
             }
         }
-        sortByName(ticket.*Kind<T>::Changes);
+        sortByName(changes);
     });
     return ticket;
 }
 
+Ticket rebased(const Ticket &ticket, const Configuration &now, std::vector<std::string> &changedSince)
+{
+    Ticket out = ticket;
+    forEachKind([&]<class T>() {
+        auto &changes = out.*Kind<T>::Changes;
+        for (Change<T> &it : changes) {
+            const T *current = findNamed(now.*Kind<T>::Things, it.next.name);
+            const uint64_t version = current == nullptr ? 0 : current->version;
+            if (version != it.basedOn) {
+                changedSince.push_back(std::string(Kind<T>::Word) + " " + it.next.name);
+            }
+            it.basedOn = version;
+        }
+        std::erase_if(changes, [](const Change<T> &it) { return it.remove && it.basedOn == 0; });
+    });
+    return out;
+}
+
 } // namespace damask
--- a/src/config/apply.h
+++ b/src/config/apply.h
@@ -5,6 +5,9 @@
 #include "config/model.h"
 #include "config/ticket.h"
 
+#include <string>
+#include <vector>
+
 namespace damask {
 
 /// The configuration that the ticket asks for; its revision is one above. It is valid as a whole.
@@ -17,7 +20,10 @@
 /// True when two tickets name a thing in common.
 bool touchInCommon(const Ticket &first, const Ticket &second);
 
-/// The ticket that takes back what changed from before to after, built on the versions of now. Its head is empty.
-Ticket ticketBack(const Configuration &before, const Configuration &after, const Configuration &now);
+/// The ticket that takes back what changed from before to after, built on the versions of after. Its head is empty.
+Ticket ticketBack(const Configuration &before, const Configuration &after);
+
+/// The same ticket built on the versions of now; names of things that have changed since go to changedSince.
+Ticket rebased(const Ticket &ticket, const Configuration &now, std::vector<std::string> &changedSince);
 
 } // namespace damask
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -1,7 +1,8 @@
 /// The configuration that operators create: services, pools of targets, rules, data centres and links.
 ///
 /// Plain values. Every named thing carries a version that rises by one with each ticket that changes it;
-/// the whole carries a revision that rises by one with each accepted ticket and never goes back.
+/// the whole carries a revision that rises by one with each ticket that is accepted, or withdrawn after it was
+/// staged, and never goes back.
 #pragma once
 
 #include "base/time.h"
--- /dev/null
+++ b/src/control/accept.cpp
@@ -0,0 +1,64 @@
+#include "control/accept.h"
+
+#include "control/effective.h"
+
+#include <algorithm>
+
+namespace damask {
+
+namespace {
+
+bool isGone(const InstanceView &instance, const AcceptOptions &options)
+{
+    return !instance.listed && !instance.leaseHeld && instance.lapsedFor >= options.listLag;
+}
+
+std::string whyWaiting(const InstanceView &instance)
+{
+    if (instance.leaseHeld) {
+        return "alive, has not confirmed yet";
+    }
+    if (instance.listed) {
+        return "the instance list shows it, but its lease has lapsed: it may be cut off and still serve";
+    }
+    return "its lease lapsed a moment ago; the instance list may lag";
+}
+
+int64_t stagedAt(const ControlDocument &document)
+{
+    for (const TicketRecord &it : document.journal) {
+        if (it.number == document.staged->number) {
+            return it.submittedAt;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+AcceptDecision decideAcceptance(const ControlDocument &document, std::span<const InstanceView> instances,
+                                const AcceptOptions &options)
+{
+    AcceptDecision decision;
+    if (!document.staged) {
+        return decision;
+    }
+    decision.number = document.staged->number;
+    const uint64_t needed = effectiveRevision(document);
+    size_t confirmed = 0;
+    for (const InstanceView &it : instances) {
+        if (isGone(it, options)) {
+            decision.passedOver.push_back(it.name);
+        } else if (it.confirmedRevision >= needed) {
+            ++confirmed;
+        } else {
+            decision.waiting.push_back({it.name, whyWaiting(it), it.confirmedRevision, stagedAt(document)});
+        }
+    }
+    std::sort(decision.waiting.begin(), decision.waiting.end(),
+              [](const WaitingInstance &a, const WaitingInstance &b) { return a.name < b.name; });
+    decision.accept = confirmed > 0 && decision.waiting.empty();
+    return decision;
+}
+
+} // namespace damask
--- a/src/control/document.h
+++ b/src/control/document.h
@@ -34,6 +34,7 @@
     uint64_t    revision = 0;    // of the configuration it made, when accepted
     int64_t     submittedAt = 0; // ms since 1970
     int64_t     endedAt = 0;     // ms since 1970; 0 while staged
+    std::string undo;            // INI of a ticket that takes it back; empty: nothing to take back, or no longer kept
 
     bool operator==(const TicketRecord &) const = default;
 };
@@ -49,7 +50,8 @@
 struct ControlDocument {
     Configuration               accepted;
     std::optional<StagedTicket> staged;
-    std::vector<TicketRecord>   journal; // by rising number of entry; old ones are cut by their count
+    std::vector<TicketRecord>   journal;        // in the order of submission; old ones are cut by their count
+    uint64_t                    highestCut = 0; // numbers up to this one count as used: their records may be cut
 
     bool operator==(const ControlDocument &) const = default;
 };
--- /dev/null
+++ b/src/control/ticket_desk.cpp
@@ -0,0 +1,224 @@
+#include "control/ticket_desk.h"
+
+#include "base/check.h"
+#include "base/log.h"
+#include "config/apply.h"
+#include "control/effective.h"
+
+#include <utility>
+
+namespace damask {
+
+namespace {
+
+constexpr std::string_view RefusalsName = "damask_ticket_refusals_total";
+constexpr std::string_view RetriesName = "damask_ticket_retries_total";
+
+/// Guards the invariants of control right before a document is written.
+void assertStep(const ControlDocument &before, const ControlDocument &after)
+{
+    DAMASK_ASSERT(after.accepted.revision >= before.accepted.revision, "an accepted revision never decreases");
+    DAMASK_ASSERT(effectiveRevision(after) >= effectiveRevision(before), "an effective revision never decreases");
+    DAMASK_ASSERT(after.highestCut >= before.highestCut, "a number once used stays used");
+    DAMASK_ASSERT(checkDocument(after).has_value(), "write only documents that a reader accepts");
+}
+
+std::string join(std::span<const std::string> words)
+{
+    std::string out;
+    for (const std::string &it : words) {
+        out += (out.empty() ? "" : ", ") + it;
+    }
+    return out;
+}
+
+} // namespace
+
+TicketDesk::TicketDesk(Metrics &metrics, DocumentStore store, TicketDeskHooks hooks, const TicketDeskOptions &options)
+    : m_metrics(metrics)
+    , m_store(std::move(store))
+    , m_hooks(std::move(hooks))
+    , m_options(options)
+{
+}
+
+Result<VersionedDocument> TicketDesk::load()
+{
+    auto loaded = m_store.load();
+    if (!loaded) {
+        return loaded;
+    }
+    const auto checked = checkDocument(loaded->document);
+    if (!checked) {
+        return tl::make_unexpected(checked.error());
+    }
+    return loaded;
+}
+
+/// After a write whose answer was lost. Ok: the version moved on, so that write is in or can never take effect.
+/// While the version stands, the write may still be under way: nothing is written again, and the operator is told.
+Result<void> TicketDesk::settle(uint64_t version)
+{
+    const auto loaded = load();
+    if (loaded && loaded->version != version) {
+        return {};
+    }
+    return fail(Code::StoreUnknown,
+                "the store did not confirm the write, and it can't be seen there yet; ask for it with"
+                " `damaskctl ticket show`, or send the same again: it takes effect once");
+}
+
+Result<TicketRecord> TicketDesk::decide(const Decide &decision)
+{
+    for (int n = 0; n < m_options.tries; ++n) {
+        const auto loaded = load();
+        if (!loaded) {
+            return tl::make_unexpected(loaded.error());
+        }
+        TicketDecision decided = decision(loaded->document);
+        if (!decided.next) {
+            return decided.answer;
+        }
+        assertStep(loaded->document, *decided.next);
+        const auto swapped = m_store.swap(*decided.next, loaded->version);
+        if (swapped) {
+            return decided.answer;
+        }
+        const Code code = swapped.error().code;
+        if (code != Code::StoreConflict && code != Code::StoreUnknown) {
+            return tl::make_unexpected(swapped.error());
+        }
+        m_metrics.countCode(RetriesName, code);
+        if (code == Code::StoreUnknown) {
+            const auto settled = settle(loaded->version);
+            if (!settled) {
+                return tl::make_unexpected(settled.error());
+            }
+        }
+    }
+    return fail(Code::StoreConflict, "the document changed again and again; submit the same once more");
+}
+
+Result<TicketRecord> TicketDesk::submit(std::string_view text, std::string_view source)
+{
+    const auto ticket = parseTicket(text, source);
+    if (!ticket) {
+        m_metrics.countCode(RefusalsName, ticket.error().code);
+        return tl::make_unexpected(ticket.error());
+    }
+    const int64_t now = m_hooks.wallClock();
+    auto answer =
+        decide([&](const ControlDocument &document) { return decideSubmit(document, *ticket, now, m_options.limits); });
+    const Code code = answer ? answer->code : answer.error().code;
+    if (code != Code::Ok) {
+        m_metrics.countCode(RefusalsName, code);
+    }
+    logEvent(Severity::Info, "ticket-submitted",
+             {{"number", ticket->number}, {"operator", ticket->operatorName}, {"code", codeName(code)}});
+    return answer;
+}
+
+Result<TicketPlan> TicketDesk::check(std::string_view text, std::string_view source)
+{
+    const auto ticket = parseTicket(text, source);
+    if (!ticket) {
+        return tl::make_unexpected(ticket.error());
+    }
+    const auto loaded = load();
+    if (!loaded) {
+        return tl::make_unexpected(loaded.error());
+    }
+    return planTicket(loaded->document, *ticket, m_options.limits);
+}
+
+Result<TicketView> TicketDesk::show(uint64_t number)
+{
+    const auto loaded = load();
+    if (!loaded) {
+        return tl::make_unexpected(loaded.error());
+    }
+    auto record = findRecord(loaded->document, number);
+    if (!record) {
+        return tl::make_unexpected(record.error());
+    }
+    TicketView view;
+    view.record = std::move(*record);
+    if (view.record.state == TicketState::Staged && m_hooks.instances) {
+        view.confirmation = decideAcceptance(loaded->document, m_hooks.instances(), m_options.accept);
+    }
+    return view;
+}
+
+Result<TicketList> TicketDesk::list()
+{
+    auto loaded = load();
+    if (!loaded) {
+        return tl::make_unexpected(loaded.error());
+    }
+    const uint64_t free = damask::nextFreeNumber(loaded->document);
+    return TicketList{std::move(loaded->document.journal), loaded->document.accepted.revision, free};
+}
+
+Result<TicketRecord> TicketDesk::withdraw(uint64_t number)
+{
+    const int64_t now = m_hooks.wallClock();
+    return decide([&](const ControlDocument &document) { return decideWithdraw(document, number, now); });
+}
+
+Result<TicketRecord> TicketDesk::accept(uint64_t number)
+{
+    const int64_t now = m_hooks.wallClock();
+    auto answer = decide([&](const ControlDocument &document) { return decideAccept(document, number, now); });
+    if (answer && answer->state == TicketState::Accepted) {
+        logEvent(Severity::Info, "ticket-accepted", {{"number", number}, {"revision", answer->revision}});
+    }
+    return answer;
+}
+
+Result<std::string> TicketDesk::revertOf(uint64_t number)
+{
+    const auto loaded = load();
+    if (!loaded) {
+        return tl::make_unexpected(loaded.error());
+    }
+    const auto record = findRecord(loaded->document, number);
+    if (!record) {
+        return tl::make_unexpected(record.error());
+    }
+    if (record->state != TicketState::Accepted || record->undo.empty()) {
+        return fail(Code::BadTicket,
+                    "ticket " + std::to_string(number)
+                        + (record->state == TicketState::Accepted ? ": what it changed is no longer kept; write"
+                                                                    " the ticket from `damaskctl ticket export`"
+                                                                  : " is not accepted; there is nothing to take back"));
+    }
+    const auto undo = parseTicket(record->undo, "journal");
+    if (!undo) {
+        return fail(Code::BadConfiguration, undo.error().detail);
+    }
+    std::vector<std::string> changedSince;
+    Ticket ticket = rebased(*undo, loaded->document.accepted, changedSince);
+    ticket.number = damask::nextFreeNumber(loaded->document);
+    ticket.operatorName = "your-name";
+    ticket.comment = "Goes back to the state before ticket " + std::to_string(number);
+    const std::string warning = changedSince.empty() ? ""
+                                                     : "; Changed since by later tickets, which this takes back too: "
+                                                           + join(changedSince) + "\n";
+    return warning + renderTicket(ticket);
+}
+
+Result<std::string> TicketDesk::exportConfiguration()
+{
+    const auto loaded = load();
+    if (!loaded) {
+        return tl::make_unexpected(loaded.error());
+    }
+    Ticket ticket = ticketFrom(loaded->document.accepted);
+    ticket.number = damask::nextFreeNumber(loaded->document);
+    ticket.operatorName = "your-name";
+    ticket.comment =
+        "Accepted revision " + std::to_string(loaded->document.accepted.revision) + "; keep only what you change";
+    return renderTicket(ticket);
+}
+
+} // namespace damask
--- a/src/operate/server.cpp
+++ b/src/operate/server.cpp
@@ -96,6 +96,7 @@
 
     void handle(const httplib::Request &request, httplib::Response &out);
     bool tokenAccepted(const httplib::Request &request) const;
+    const Route *findRoute(std::string_view method, std::string_view path) const;
     void refuse(httplib::Response &out, int status, const Error &error);
     void answerLibraryError(const httplib::Request &request, httplib::Response &out);
     void waitUntilRunning();
@@ -129,11 +130,23 @@
     fill(out, operateError(status, error));
 }
 
+/// The route of exactly this path, else the one of its longest folder that was given as "FOLDER/*".
+const OperateServer::State::Route *OperateServer::State::findRoute(std::string_view method, std::string_view path) const
+{
+    auto it = routes.find({std::string(method), std::string(path)});
+    size_t slash = path.rfind('/');
+    while (it == routes.end() && slash != std::string_view::npos) {
+        it = routes.find({std::string(method), std::string(path.substr(0, slash)) + "/*"});
+        slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1);
+    }
+    return it == routes.end() ? nullptr : &it->second;
+}
+
 void OperateServer::State::handle(const httplib::Request &request, httplib::Response &out)
 {
-    const auto it = routes.find({request.method, request.path});
-    const bool known = it != routes.end();
-    if (!(known && it->second.open) && !tokenAccepted(request)) {
+    const Route *it = findRoute(request.method, request.path);
+    const bool known = it != nullptr;
+    if (!(known && it->open) && !tokenAccepted(request)) {
         out.set_header("WWW-Authenticate", "Bearer");
         refuse(out, 401, {Code::TokenRefused, "send the operators' token as Authorization: Bearer TOKEN"});
         return;
@@ -147,7 +160,7 @@
     in.path = request.path;
     in.query.insert(request.params.begin(), request.params.end());
     in.body = request.body;
-    fill(out, it->second.handler(in));
+    fill(out, it->handler(in));
 }
 
 void OperateServer::State::answerLibraryError(const httplib::Request &request, httplib::Response &out)
--- a/src/operate/server.h
+++ b/src/operate/server.h
@@ -53,7 +53,8 @@
     explicit OperateServer(const OperateOptions &options);
     ~OperateServer(); // stops
 
-    /// Before start(). Open paths need no token (health, readiness, metrics).
+    /// Before start(). Open paths need no token (health, readiness, metrics). A path that ends in "/*" takes all below
+    /// it that has no route of its own.
     void         route(std::string_view method, std::string_view path, OperateHandler handler, bool open = false);
     Result<void> start();      // SystemError when the port can't be had
     void         stop();       // finishes what is in flight
--- /dev/null
+++ b/src/programs/damaskctl/http.cpp
@@ -0,0 +1,49 @@
+#include "programs/damaskctl/http.h"
+
+#include <httplib.h>
+
+namespace damask {
+
+namespace {
+
+constexpr time_t ConnectSeconds = 3;
+constexpr time_t AnswerSeconds = 20; // the store may be slow
+
+httplib::Headers headersOf(const HttpAsk &ask)
+{
+    httplib::Headers headers;
+    if (!ask.token.empty()) {
+        headers.emplace("Authorization", "Bearer " + ask.token);
+    }
+    return headers;
+}
+
+bool neverSent(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
+           || error == httplib::Error::BindIPAddress;
+}
+
+} // namespace
+
+Result<HttpAnswer> fetchOverHttp(const HttpAsk &ask)
+{
+    httplib::Client client(ask.to.address, ask.to.port);
+    client.set_connection_timeout(ConnectSeconds);
+    client.set_read_timeout(AnswerSeconds);
+    client.set_keep_alive(false);
+    const httplib::Headers headers = headersOf(ask);
+    const auto answer =
+        ask.method == "POST" ? client.Post(ask.path, headers, ask.body, "text/plain") : client.Get(ask.path, headers);
+    const std::string where = ask.to.address + ":" + std::to_string(ask.to.port);
+    if (answer) {
+        return HttpAnswer{answer->status, answer->body};
+    }
+    if (neverSent(answer.error())) {
+        return fail(Code::PeerUnavailable, "nobody answers at " + where);
+    }
+    return fail(ask.method == "POST" ? Code::StoreUnknown : Code::PeerUnavailable,
+                where + " took the request, but its answer did not come: " + httplib::to_string(answer.error()));
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/programs/damaskctl/http.h
@@ -0,0 +1,31 @@
+/// How damaskctl asks a program's operators' port.
+#pragma once
+
+#include "base/result.h"
+#include "programs/damaskctl/command_line.h"
+
+#include <functional>
+#include <string>
+
+namespace damask {
+
+struct HttpAsk {
+    Endpoint    to;
+    std::string method = "GET"; // or POST
+    std::string path;           // with its query
+    std::string body;           // of a POST
+    std::string token;          // operators' token; empty: none
+};
+
+struct HttpAnswer {
+    int         status = 0;
+    std::string body;
+};
+
+/// PeerUnavailable: it surely did not happen. StoreUnknown: it was sent, and no answer came.
+using HttpFetch = std::function<Result<HttpAnswer>(const HttpAsk &)>;
+
+/// Over HTTP, one connection for each ask; nothing is sent twice.
+Result<HttpAnswer> fetchOverHttp(const HttpAsk &ask);
+
+} // namespace damask
--- /dev/null
+++ b/src/programs/damaskctl/main.cpp
@@ -0,0 +1,47 @@
+/// damaskctl: what operators drive the system with.
+
+#include "programs/damaskctl/commands.h"
+#include "settings/ini.h"
+#include "startup/program.h"
+
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <string>
+#include <vector>
+
+using namespace damask;
+
+static Result<std::string> readInput(std::string_view path)
+{
+    return readFile(path == "-" ? "/dev/stdin" : path);
+}
+
+static int64_t wallClock()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    const auto line = parseCommandLine(words);
+    if (!line) {
+        std::cerr << "damaskctl: " << line.error().detail << "\n";
+        return ExitUsage;
+    }
+    ControlHooks hooks;
+    hooks.fetch = fetchOverHttp;
+    hooks.readFile = readInput;
+    hooks.print = [](std::string_view text) {
+        std::cout << text << std::flush;
+    };
+    hooks.complain = [](std::string_view text) {
+        std::cerr << text << std::flush;
+    };
+    hooks.wallClock = wallClock;
+    Clock clock;
+    return runCommand(clock, *line, hooks);
+}
--- /dev/null
+++ b/src/programs/damaskctl/render.cpp
@@ -0,0 +1,162 @@
+#include "programs/damaskctl/render.h"
+
+#include "base/result.h"
+#include "programs/damaskctl/advice.h"
+
+#include <ctime>
+#include <nlohmann/json.hpp>
+
+namespace damask {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int64_t MsPerSecond = 1000;
+
+Json parse(std::string_view json)
+{
+    Json parsed = Json::parse(json, nullptr, false);
+    return parsed.is_object() ? parsed : Json::object();
+}
+
+std::string textOf(const Json &json, const char *key)
+{
+    const auto it = json.find(key);
+    return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
+}
+
+int64_t numberOf(const Json &json, const char *key)
+{
+    const auto it = json.find(key);
+    return it != json.end() && it->is_number_integer() ? it->get<int64_t>() : 0;
+}
+
+Json listOf(const Json &json, const char *key)
+{
+    const auto it = json.find(key);
+    return it != json.end() && it->is_array() ? *it : Json::array();
+}
+
+std::string timeText(int64_t ms)
+{
+    if (ms == 0) {
+        return "-";
+    }
+    const time_t seconds = ms / MsPerSecond;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    char buf[32];
+    const size_t n = std::strftime(buf, sizeof buf, "%Y-%m-%d %H:%M:%S UTC", &parts);
+    return std::string(buf, n);
+}
+
+std::string lines(const Json &list, std::string_view indent)
+{
+    std::string out;
+    for (const Json &it : list) {
+        if (it.is_string()) {
+            out += std::string(indent) + it.get<std::string>() + "\n";
+        }
+    }
+    return out;
+}
+
+std::string codeText(const Json &json)
+{
+    return textOf(json, "name") + " (" + std::to_string(numberOf(json, "code")) + ")";
+}
+
+std::string failureText(const Json &json)
+{
+    const std::string detail = textOf(json, "detail");
+    const std::string_view advice = adviceFor(codeFromNumber(static_cast<int>(numberOf(json, "code"))));
+    std::string out = codeText(json) + "\n" + (detail.empty() ? "" : detail + "\n");
+    out += advice.empty() ? "" : "What to do: " + std::string(advice) + "\n";
+    return out;
+}
+
+std::string waitingText(const Json &json, int64_t now)
+{
+    std::string out;
+    for (const Json &it : listOf(json, "waiting")) {
+        const int64_t seconds = std::max<int64_t>(0, now - numberOf(it, "since")) / MsPerSecond;
+        out += "  waits for " + textOf(it, "instance") + " since " + std::to_string(seconds)
+               + " s: " + textOf(it, "why") + "\n";
+    }
+    for (const Json &it : listOf(json, "passedOver")) {
+        out += "  not waited for, gone: " + (it.is_string() ? it.get<std::string>() : "") + "\n";
+    }
+    return out;
+}
+
+} // namespace
+
+std::string renderShown(std::string_view json, int64_t now)
+{
+    const Json ticket = parse(json);
+    const std::string state = textOf(ticket, "state");
+    std::string out = "ticket " + std::to_string(numberOf(ticket, "number")) + ": " + state + "\n";
+    out += "  operator   " + textOf(ticket, "operator") + "\n";
+    out += "  comment    " + textOf(ticket, "comment") + "\n";
+    out += "  submitted  " + timeText(numberOf(ticket, "submittedAt")) + "\n";
+    out += "  ended      " + timeText(numberOf(ticket, "endedAt")) + "\n";
+    if (state == "accepted") {
+        out += "  revision   " + std::to_string(numberOf(ticket, "revision")) + ", in force on every live instance\n";
+    }
+    if (state == "refused") {
+        out += failureText(ticket);
+    }
+    return out + waitingText(ticket, now);
+}
+
+std::string renderListed(std::string_view json)
+{
+    const Json list = parse(json);
+    std::string out;
+    for (const Json &it : listOf(list, "tickets")) {
+        const std::string reason = numberOf(it, "code") == 0 ? "" : " " + codeText(it);
+        out += std::to_string(numberOf(it, "number")) + "  " + textOf(it, "state") + reason + "  "
+               + timeText(numberOf(it, "submittedAt")) + "  " + textOf(it, "operator") + "  " + textOf(it, "comment")
+               + "\n";
+    }
+    return out + "accepted revision " + std::to_string(numberOf(list, "revision")) + "; next free number "
+           + std::to_string(numberOf(list, "nextFreeNumber")) + "\n";
+}
+
+std::string renderDiff(std::string_view json)
+{
+    const std::string out = lines(listOf(parse(json), "diff"), "");
+    return out.empty() ? "no difference\n" : out;
+}
+
+std::string renderChecked(std::string_view json)
+{
+    const Json plan = parse(json);
+    std::string out = "Changes:\n" + lines(listOf(plan, "diff"), "  ");
+    const std::string effect = lines(listOf(plan, "effect"), "  ");
+    out += "Effect:\n" + (effect.empty() ? "  no target loses work, all capacity stays\n" : effect);
+    if (numberOf(plan, "code") != 0) {
+        return out + "It would be refused: " + failureText(plan);
+    }
+    return out + "It would be taken. Nothing has been changed yet: submit it with `damaskctl ticket submit FILE`.\n";
+}
+
+std::string renderFailure(std::string_view json)
+{
+    const Json failure = parse(json);
+    return failure.contains("code") ? failureText(failure) : "the answer can't be read: " + std::string(json) + "\n";
+}
+
+std::string renderCodes()
+{
+    std::string out;
+    for (const CodeInfo &it : codeTable()) {
+        const std::string_view advice = adviceFor(it.code);
+        out += std::to_string(codeNumber(it.code)) + "  " + std::string(it.name) + "  " + std::string(it.meaning);
+        out += advice.empty() ? "\n" : " " + std::string(advice) + "\n";
+    }
+    return out;
+}
+
+} // namespace damask
--- /dev/null
+++ b/tests/programs/test_damaskctl_path.cpp
@@ -0,0 +1,103 @@
+// From damaskctl's command line through HTTP and the keeper's routes to a store, and back to text.
+
+#include "fakes/fake_document_store.h"
+#include "fakes/tickets.h"
+#include "programs/damask-keeper/ticket_routes.h"
+#include "programs/damaskctl/commands.h"
+#include "startup/program.h"
+
+#include <criterion/criterion.h>
+
+using namespace damask;
+using namespace damask::fakes;
+
+namespace {
+
+struct Path {
+    Path()
+    {
+        addTicketRoutes(server, desk);
+        cr_assert(server.start().has_value());
+    }
+
+    int run(std::vector<std::string> words, std::string_view file = {})
+    {
+        words.push_back("--keeper=127.0.0.1:" + std::to_string(server.port()));
+        out.clear();
+        const auto line = parseCommandLine(words);
+        cr_assert(line.has_value(), "%s", line ? "" : line.error().detail.c_str());
+        ControlHooks hooks;
+        hooks.fetch = fetchOverHttp;
+        hooks.readFile = [file](std::string_view) {
+            return Result<std::string>(std::string(file));
+        };
+        hooks.print = hooks.complain = [this](std::string_view text) {
+            out += text;
+        };
+        hooks.wallClock = [] {
+            return int64_t{5000};
+        };
+        return runCommand(clock, *line, hooks);
+    }
+
+    bool says(std::string_view text) const
+    {
+        return out.find(text) != std::string::npos;
+    }
+
+    Clock clock;
+    Metrics metrics;
+    FakeDocumentStore store;
+    std::vector<InstanceView> instances{{.name = "e1", .confirmedRevision = 0}};
+    TicketDesk desk{metrics,
+                    store.hooks(),
+                    {[] { return int64_t{1000}; },
+                     [this] {
+                         return instances;
+                     }}};
+    OperateServer server{{}};
+    std::string out;
+};
+
+} // namespace
+
+Test(damaskctl_path, a_ticket_from_start_to_finish)
+{
+    Path it;
+    cr_assert(it.run({"ticket", "check", "t.ini"}, firstTicket()) == ExitOk, "%s", it.out.c_str());
+    cr_assert(it.says("+ pool listings") && it.says("It would be taken"), "%s", it.out.c_str());
+    cr_assert(it.run({"ticket", "submit", "t.ini"}, firstTicket()) == ExitStillWaiting, "%s", it.out.c_str());
+    cr_assert(it.run({"ticket", "show", "1"}) == ExitOk);
+    cr_assert(it.says("staged") && it.says("waits for e1 since 4 s"), "%s", it.out.c_str());
+    it.desk.accept(1);
+    cr_assert(it.run({"ticket", "show", "1"}) == ExitOk);
+    cr_assert(it.says("accepted") && it.says("revision   1"), "%s", it.out.c_str());
+    cr_assert(it.run({"ticket", "list"}) == ExitOk);
+    cr_assert(it.says("next free number 2"));
+}
+
+Test(damaskctl_path, going_back_is_a_ticket_that_can_be_submitted)
+{
+    Path it;
+    it.run({"ticket", "submit", "t.ini"}, firstTicket());
+    it.desk.accept(1);
+    it.run({"ticket", "submit", "t.ini"}, poolTicket(2, 1, DrainB));
+    it.desk.accept(2);
+    cr_assert(it.run({"ticket", "revert-of", "2"}) == ExitOk);
+    const std::string back = it.out;
+    cr_assert(it.run({"ticket", "diff", "-"}, back) == ExitOk);
+    cr_assert(it.says("draining=yes -> 127.0.0.1:8002 data-centre=be1 slots=3 draining=no"), "%s", it.out.c_str());
+    cr_assert(it.run({"ticket", "submit", "-"}, back) == ExitStillWaiting, "%s", it.out.c_str());
+}
+
+Test(damaskctl_path, a_refusal_names_code_line_and_what_to_do)
+{
+    Path it;
+    cr_assert(it.run({"ticket", "submit", "t.ini"}, "[ticket]\nnumber = 1\n") == ExitFailed);
+    cr_assert(it.says("BadTicket (401)") && it.says("t.ini:1: [ticket] operator is missing") && it.says("What to do: "),
+              "%s", it.out.c_str());
+    it.store.down = true;
+    cr_assert(it.run({"ticket", "submit", "t.ini"}, firstTicket()) == ExitFailed);
+    cr_assert(it.says("StoreUnavailable (601)"), "%s", it.out.c_str());
+    cr_assert(it.run({"ticket", "show", "77"}) == ExitFailed);
+}
