Add the store's stand-in and client, the inner protocol and the entry's link

Cause: control needs the platform's store and instance list, and a protocol between keeper and entry. Change: damask-store serves a stated subset of the etcd v3 JSON protocol, with faults steered over HTTP; the client tells nothing-sent from unknown; protobuf messages are checked field by field on decoding; one thread owns the ZeroMQ sockets with CURVE keys and answers the key check; KeeperLink applies and acknowledges offers. A stand-in's target has a name of its own, because the package's library is called damask-store already. Conclusion: the keeper can be built on these.

--- a/src/config/model.h
+++ b/src/config/model.h
@@ -54,6 +54,10 @@
     bool operator==(const Service &) const = default;
 };
 
+// Idempotency::Never is scoped and so can't be mistaken for the TimePoint Never, but -Wshadow of g++ 12 says it can.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
+
 /// Which requests a rule lets be sent again.
 enum class Idempotency {
     ByMethod, // GET, HEAD, OPTIONS, PUT and DELETE as in RFC 9110
@@ -61,6 +65,8 @@
     Never,    // no request under the rule may run twice
 };
 
+#pragma GCC diagnostic pop
+
 /// Where requests may go. The rule with the longest matching prefix decides; one that names a host goes first.
 struct Rule {
     std::string              name;
--- /dev/null
+++ b/src/programs/damask-entry/keeper_link.cpp
@@ -0,0 +1,149 @@
+#include "keeper_link.h"
+
+#include "base/log.h"
+#include "base/thread.h"
+#include "wire/node.h"
+
+#include <atomic>
+
+namespace damask {
+
+namespace {
+
+constexpr Duration HelloInterval = std::chrono::seconds(1);
+
+} // namespace
+
+struct KeeperLink::State {
+    Clock &clock;
+    Metrics &metrics;
+    KeeperLinkOptions options;
+    KeeperLinkHooks hooks;
+    uint64_t incarnation = 0; // of this process
+    std::atomic<TimePoint> heardAt;
+    std::atomic<uint64_t> revision{0}; // applied
+    std::atomic<uint64_t> offer{0};    // applied last
+
+    RankedMutex mutex{LockRank::Program};
+    Condition wake;
+    bool stopping = true; // guarded by mutex
+    Thread thread;
+    WireNode node;
+
+    State(Clock &clockIn, Metrics &metricsIn, const KeeperLinkOptions &optionsIn, KeeperLinkHooks hooksIn)
+        : clock(clockIn)
+        , metrics(metricsIn)
+        , options(optionsIn)
+        , hooks(std::move(hooksIn))
+        , incarnation(static_cast<uint64_t>(clockIn.now().time_since_epoch().count()))
+        , heardAt(clockIn.now())
+        , wake(clockIn)
+        , node(clockIn, metricsIn, {.name = optionsIn.instance, .listeners = {}},
+               {.receive = [this](const WireSource &, Message message) { receive(std::move(message)); }, .admit = {}})
+    {
+    }
+
+    void send(MessageBody body)
+    {
+        const WirePeer keeper{
+            .address = options.keeper,
+            .serverKey = options.serverKey,
+            .key = {.publicKey = options.publicKey, .secretKey = options.secretKey},
+        };
+        const auto sent = node.send(keeper, {options.instance, incarnation, std::move(body)});
+        if (!sent) {
+            metrics.countCode("damask_keeper_link_refusals_total", sent.error().code);
+        }
+    }
+
+    void receive(Message message)
+    {
+        heardAt = clock.now();
+        if (const auto *offered = std::get_if<ConfigurationOffer>(&message.body)) {
+            take(*offered);
+        } else if (const auto *batch = std::get_if<NewsBatch>(&message.body)) {
+            hooks.absorb(batch->news);
+        }
+    }
+
+    /// An offer older than what is in force is never applied, whoever sends it.
+    void take(const ConfigurationOffer &offered)
+    {
+        if (offered.configuration->revision < revision) {
+            metrics.countCode("damask_keeper_link_refusals_total", Code::OlderRevision);
+            logEvent(Severity::Error, "offer-refused",
+                     {{"code", codeNumber(Code::OlderRevision)},
+                      {"revision", offered.configuration->revision},
+                      {"inForce", revision.load()}});
+            return;
+        }
+        hooks.apply(offered.configuration);
+        revision = offered.configuration->revision;
+        offer = offered.offer;
+        metrics.gauge("damask_configuration_revision").Set(static_cast<double>(offered.configuration->revision));
+        send(OfferApplied{offered.offer, offered.configuration->revision});
+    }
+
+    void sayNews()
+    {
+        NewsBatch batch{hooks.ownNews()};
+        if (!batch.news.empty()) {
+            send(std::move(batch));
+        }
+    }
+
+    void run()
+    {
+        TimePoint helloAt = clock.now();
+        LockGuard lock(mutex);
+        while (!stopping) {
+            const TimePoint now = clock.now();
+            if (now >= helloAt) {
+                send(EntryHello{revision, offer});
+                helloAt = now + HelloInterval;
+            }
+            sayNews();
+            const TimePoint until = now + options.newsInterval;
+            while (!stopping && wake.waitUntil(lock, until)) { }
+        }
+    }
+};
+
+KeeperLink::KeeperLink(Clock &clock, Metrics &metrics, const KeeperLinkOptions &options, KeeperLinkHooks hooks)
+    : m_state(std::make_unique<State>(clock, metrics, options, std::move(hooks)))
+{
+}
+
+KeeperLink::~KeeperLink()
+{
+    stop();
+}
+
+void KeeperLink::start()
+{
+    const auto started = m_state->node.start();
+    if (!started) {
+        logEvent(Severity::Error, "keeper-link-failed", {{"reason", started.error().detail}});
+        return;
+    }
+    m_state->stopping = false;
+    m_state->thread = Thread("keeper-link", [this] { m_state->run(); });
+}
+
+void KeeperLink::stop()
+{
+    {
+        LockGuard lock(m_state->mutex);
+        m_state->stopping = true;
+        m_state->wake.notifyAll();
+    }
+    m_state->thread.join();
+    m_state->node.stop();
+}
+
+Duration KeeperLink::silence() const
+{
+    return m_state->clock.now() - m_state->heardAt.load();
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/store/client.h
@@ -0,0 +1,103 @@
+/// Client of the platform's key-value service, over the HTTP form of the etcd v3 protocol.
+///
+/// Use:
+///     StoreClient store(clock, metrics, {.address = "10.0.0.2", .port = 2379});
+///     auto held = store.get("/damask/document");
+///     auto swapped = store.swap({.key = "/damask/document", .value = bytes, .version = held->version});
+/// Pitfall: StoreUnknown means that the write may have taken effect. Read back; never send it again blindly.
+/// Each call uses a connection of its own, so that a failure before anything was sent is told apart for sure.
+#pragma once
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "base/result.h"
+#include "call/cancel.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace damask {
+
+struct StoreOptions {
+    std::string address = "127.0.0.1";                    // IP number
+    uint16_t    port = 2379;                              // TCP
+    Duration    connectTimeout = std::chrono::seconds(1); // for a connection
+    Duration    callTimeout = std::chrono::seconds(2);    // for a whole call
+    Duration    watchSilence = std::chrono::seconds(15);  // a watch that says nothing for so long is made anew
+    size_t      maxValueBytes = 1000 * 1000;              // of one value
+};
+
+struct StoreEntry {
+    std::string key;
+    std::string value;
+    uint64_t    version = 0; // revision of the store that wrote it
+};
+
+/// What a read gave: the entries and the store's revision they are true at.
+struct StoreRead {
+    std::vector<StoreEntry> entries;
+    uint64_t                revision = 0;
+};
+
+/// A key that must still stand as it was for a write to take effect: the proof of a lease.
+struct StoreFence {
+    std::string key;
+    uint64_t    version = 0;
+};
+
+struct StoreSwap {
+    std::string               key;
+    std::string               value;
+    uint64_t                  version = 0; // expected; 0: the key must not exist
+    uint64_t                  lease = 0;   // 0: none
+    std::optional<StoreFence> fence;       // also expected
+};
+
+/// One change seen by a watch; no entry: the key was deleted.
+struct StoreEvent {
+    std::optional<StoreEntry> entry;
+    uint64_t                  revision = 0;
+};
+
+struct StoreWatch {
+    std::string                             key;
+    uint64_t                                fromRevision = 0; // first one wanted; 0: from now on
+    std::function<void(const StoreEvent &)> changed;          // on the thread that watches
+    std::function<void()>                   alive;            // the store said something; may be empty
+};
+
+/// Safe from all threads.
+class StoreClient
+{
+public:
+    StoreClient(Clock &clock, Metrics &metrics, const StoreOptions &options);
+    ~StoreClient();
+
+    Result<StoreEntry> get(std::string_view key);     // NotFound, StoreUnavailable, StoreBadValue
+    Result<StoreRead>  list(std::string_view prefix); // StoreUnavailable, StoreBadValue
+    Result<uint64_t>   swap(const StoreSwap &change); // the new version; StoreConflict, StoreUnknown, StoreTooLarge
+    Result<uint64_t>   put(std::string_view key, std::string_view value, uint64_t lease = 0); // the new version
+    Result<void>       remove(std::string_view key);
+
+    Result<uint64_t> grantLease(Duration timeToLive); // its id
+    Result<Duration> keepLease(uint64_t lease);       // time to live from now; LeaseLapsed
+    Result<void>     revokeLease(uint64_t lease);
+
+    /// Blocks until the watch ends: Cancelled by the token, StoreUnavailable, NotFound when its revision is compacted.
+    Result<void> watch(const StoreWatch &watch, CancelToken &cancel);
+
+    Result<std::string> fetch(std::string_view path); // GET, for the instance list; StoreUnavailable
+
+    bool reachable() const; // the last call was answered
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace damask
--- /dev/null
+++ b/src/wire/message.cpp
@@ -0,0 +1,193 @@
+#include "wire/message.h"
+
+#include "base/hash.h"
+#include "wire/convert.h"
+#include "wire/inner.pb.h"
+
+#include <algorithm>
+
+namespace damask {
+
+namespace {
+
+constexpr uint32_t EnvelopeFormat = 1;
+constexpr uint64_t MaxAgeMicroseconds = 24ULL * 3600 * 1000 * 1000;
+
+void write(const EntryHello &from, pb::Envelope &to)
+{
+    to.mutable_entry_hello()->set_revision(from.revision);
+    to.mutable_entry_hello()->set_offer(from.offer);
+}
+
+void write(const ConfigurationOffer &from, pb::Envelope &to)
+{
+    to.mutable_offer()->set_offer(from.offer);
+    toMessage(*from.configuration, *to.mutable_offer()->mutable_configuration());
+}
+
+void write(const OfferApplied &from, pb::Envelope &to)
+{
+    to.mutable_applied()->set_offer(from.offer);
+    to.mutable_applied()->set_revision(from.revision);
+}
+
+void write(const NewsBatch &from, pb::Envelope &to)
+{
+    pb::NewsBatch &batch = *to.mutable_news();
+    for (const LoadNews &it : from.news) {
+        pb::LoadNews &news = *batch.add_news();
+        news.set_target(it.target);
+        news.set_in_flight(static_cast<uint32_t>(std::max(it.report.inFlight, 0)));
+        news.set_slots(static_cast<uint32_t>(std::max(it.report.slots, 0)));
+        news.set_draining(it.report.draining);
+        news.set_age_us(static_cast<uint64_t>(std::max<int64_t>(it.age.count() / 1000, 0)));
+        news.set_leaving(it.leaving);
+    }
+}
+
+void write(const DocumentCopy &from, pb::Envelope &to)
+{
+    pb::DocumentCopy &copy = *to.mutable_document();
+    copy.set_version(from.version);
+    copy.set_document(from.document);
+    copy.set_hash(from.hash);
+    copy.set_store_reachable(from.storeReachable);
+}
+
+void write(const Confirmation &from, pb::Envelope &to)
+{
+    to.mutable_confirmation()->set_ticket(from.ticket);
+    to.mutable_confirmation()->set_version(from.version);
+}
+
+void write(const DocumentRequest &from, pb::Envelope &to)
+{
+    to.mutable_request()->set_version(from.version);
+    to.mutable_request()->set_instance_address(from.instanceAddress);
+}
+
+void write(const Heartbeat &from, pb::Envelope &to)
+{
+    pb::Heartbeat &beat = *to.mutable_heartbeat();
+    beat.set_version(from.version);
+    beat.set_revision(from.revision);
+    beat.set_store_reachable(from.storeReachable);
+    beat.set_leaving(from.leaving);
+    beat.set_address(from.address);
+}
+
+Result<MessageBody> readOffer(const pb::ConfigurationOffer &from)
+{
+    auto configuration = fromMessage(from.configuration());
+    if (!configuration) {
+        return tl::make_unexpected(configuration.error());
+    }
+    return ConfigurationOffer{from.offer(), std::make_shared<const Configuration>(std::move(*configuration))};
+}
+
+Result<MessageBody> readNews(const pb::NewsBatch &from)
+{
+    NewsBatch out;
+    if (from.news_size() > MaxItems) {
+        return fail(Code::BadMessage, "news: has too many items");
+    }
+    for (const pb::LoadNews &it : from.news()) {
+        if (const auto checked = checkText(it.target(), 2 * MaxNameBytes, "news.target"); !checked) {
+            return tl::make_unexpected(checked.error());
+        }
+        const uint32_t most = static_cast<uint32_t>(MaxCount);
+        if (it.target().empty() || it.in_flight() > most || it.slots() > most || it.age_us() > MaxAgeMicroseconds) {
+            return fail(Code::BadMessage, "news: a field is out of range");
+        }
+        out.news.push_back({.target = it.target(),
+                            .report = {.inFlight = static_cast<int>(it.in_flight()),
+                                       .slots = static_cast<int>(it.slots()),
+                                       .draining = it.draining()},
+                            .age = std::chrono::microseconds(it.age_us()),
+                            .leaving = it.leaving()});
+    }
+    return out;
+}
+
+Result<MessageBody> readDocument(const pb::DocumentCopy &from)
+{
+    if (hashBytes(from.document()) != from.hash()) {
+        return fail(Code::BadMessage, "document: its hash does not fit");
+    }
+    return DocumentCopy{from.version(), from.document(), from.hash(), from.store_reachable()};
+}
+
+Result<MessageBody> readRequest(const pb::DocumentRequest &from)
+{
+    if (const auto checked = checkText(from.instance_address(), MaxNameBytes, "request.address"); !checked) {
+        return tl::make_unexpected(checked.error());
+    }
+    return DocumentRequest{from.version(), from.instance_address()};
+}
+
+Result<MessageBody> readHeartbeat(const pb::Heartbeat &from)
+{
+    if (const auto checked = checkText(from.address(), MaxNameBytes, "heartbeat.address"); !checked) {
+        return tl::make_unexpected(checked.error());
+    }
+    return Heartbeat{from.version(), from.revision(), from.store_reachable(), from.leaving(), from.address()};
+}
+
+Result<MessageBody> readBody(const pb::Envelope &from)
+{
+    switch (from.body_case()) {
+    case pb::Envelope::kEntryHello:
+        return EntryHello{from.entry_hello().revision(), from.entry_hello().offer()};
+    case pb::Envelope::kOffer:
+        return readOffer(from.offer());
+    case pb::Envelope::kApplied:
+        return OfferApplied{from.applied().offer(), from.applied().revision()};
+    case pb::Envelope::kNews:
+        return readNews(from.news());
+    case pb::Envelope::kDocument:
+        return readDocument(from.document());
+    case pb::Envelope::kConfirmation:
+        return Confirmation{from.confirmation().ticket(), from.confirmation().version()};
+    case pb::Envelope::kRequest:
+        return readRequest(from.request());
+    case pb::Envelope::kHeartbeat:
+        return readHeartbeat(from.heartbeat());
+    case pb::Envelope::BODY_NOT_SET:
+        break;
+    }
+    return fail(Code::BadMessage, "the message has no body that is known here");
+}
+
+} // namespace
+
+std::string encodeMessage(const Message &message)
+{
+    pb::Envelope to;
+    to.set_format(EnvelopeFormat);
+    to.set_sender(message.sender);
+    to.set_incarnation(message.incarnation);
+    std::visit([&to](const auto &body) { write(body, to); }, message.body);
+    return to.SerializeAsString();
+}
+
+Result<Message> decodeMessage(std::string_view bytes)
+{
+    pb::Envelope from;
+    if (bytes.size() > MaxMessageBytes) {
+        return fail(Code::BadMessage, "the message is too large");
+    }
+    if (!from.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || from.format() != EnvelopeFormat) {
+        return fail(Code::BadMessage, "the message is malformed or of another format");
+    }
+    const auto sender = checkText(from.sender(), MaxNameBytes, "sender");
+    if (!sender || from.sender().empty()) {
+        return fail(Code::BadMessage, "sender: must be a name");
+    }
+    auto body = readBody(from);
+    if (!body) {
+        return tl::make_unexpected(body.error());
+    }
+    return Message{from.sender(), from.incarnation(), std::move(*body)};
+}
+
+} // namespace damask
--- /dev/null
+++ b/standins/damask-store/main.cpp
@@ -0,0 +1,57 @@
+/// damask-store: a stand-in of the platform's key-value service and instance list, for tests and benches.
+#include "base/log.h"
+#include "damask-store/service.h"
+#include "startup/program.h"
+
+using namespace damask;
+
+namespace {
+
+constexpr std::string_view Usage = R"(damask-store: stand-in of the platform's key-value service and instance list.
+
+Usage:
+  damask-store [--settings=FILE] [--check | --print-settings]
+  damask-store (--help | --version)
+
+Options:
+  --settings=FILE   Settings in INI.
+  --check           Check the settings and stop.
+  --print-settings  Print the effective settings and stop.
+  --help            Show this text.
+  --version         Show the version.
+)";
+
+constexpr SettingSpec Specs[] = {
+    {"listen", "address", SettingType::Text, "127.0.0.1", "IP number to listen on."},
+    {"listen", "port", SettingType::Number, "2379", "TCP port to listen on; 0 takes any free one.", 0, 65535},
+    {"listen", "threads", SettingType::Number, "256", "Calls and watches served at once.", 4, 4096},
+    {"limits", "value", SettingType::Size, "1000000 B", "Largest value of a key.", 1024, 16 * 1024 * 1024},
+    {"limits", "progress", SettingType::Interval, "5 s", "A watch without news says so this often.", 100, 60000},
+    {"instances", "lag", SettingType::Interval, "0 ms", "The instance list shows the state of so long ago.", 0, 600000},
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const ProgramStart program = startProgram(argc, argv, {.name = "damask-store", .usage = Usage, .specs = Specs});
+    if (!program.settings) {
+        return program.exitCode;
+    }
+    const Settings &settings = *program.settings;
+    Clock clock;
+    standin::Service service(clock, {.address = std::string(settings.text("listen", "address")),
+                                     .port = static_cast<uint16_t>(settings.number("listen", "port")),
+                                     .threads = static_cast<size_t>(settings.number("listen", "threads")),
+                                     .maxValueBytes = settings.size("limits", "value"),
+                                     .progress = settings.interval("limits", "progress")});
+    service.instances().setLag(settings.interval("instances", "lag"));
+    if (const auto started = service.start(); !started) {
+        logEvent(Severity::Error, "start-failed", {{"reason", started.error().detail}});
+        return ExitFailed;
+    }
+    logEvent(Severity::Info, "listening", {{"port", int{service.port()}}});
+    waitForStop();
+    service.stop();
+    return ExitOk;
+}
