--- a/src/config/model.h
+++ b/src/config/model.h
@@ -1,7 +1,8 @@
 /// The configuration that operators create: services, pools of targets, rules, data centres and links.
 ///
 /// Plain values. Every named thing carries a version that rises by one with each ticket that changes it;
-/// the whole carries a revision that rises by one with each accepted ticket and never goes back.
+/// the whole carries a revision that rises by one with each ticket that is accepted, or withdrawn after it was
+/// staged, and never goes back.
 #pragma once
 
 #include "base/time.h"
@@ -54,6 +55,10 @@
     bool operator==(const Service &) const = default;
 };
 
+// Idempotency::Never is scoped and so can't be mistaken for the TimePoint Never, but -Wshadow of g++ 12 says it can.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
+
 /// Which requests a rule lets be sent again.
 enum class Idempotency {
     ByMethod, // GET, HEAD, OPTIONS, PUT and DELETE as in RFC 9110
@@ -61,6 +66,8 @@
     Never,    // no request under the rule may run twice
 };
 
+#pragma GCC diagnostic pop
+
 /// Where requests may go. The rule with the longest matching prefix decides; one that names a host goes first.
 struct Rule {
     std::string              name;
