Test sender and dispatcher against hand-written fakes

Cause: promises of at most once and never another's answer were untested. Change: a raw-socket target and a fake of permits and attempts; a fault found: an answer cut short by a close counted as lost connection, since arguments were evaluated in no set order.

--- a/src/back/exchange.cpp
+++ b/src/back/exchange.cpp
@@ -217,8 +217,9 @@
     }
     // A target may answer and close before it has read the whole body, so its answer is read all the same.
     AnswerStream stream(connection, clock, request.deadline);
-    out.code = asTruncated(readAnswer(stream, request, out), stream.anyAnswer());
+    const Code code = readAnswer(stream, request, out);
     out.anyAnswer = stream.anyAnswer();
+    out.code = asTruncated(code, out.anyAnswer);
     out.reusable = out.code == Code::Ok && !out.head.close && stream.drained() && sent.end == IoEnd::Done;
     return out;
 }
--- /dev/null
+++ b/tests/back/test_sender.cpp
@@ -0,0 +1,316 @@
+#include "back/sender.h"
+#include "call/headers.h"
+#include "fakes/fake_target.h"
+
+#include <criterion/criterion.h>
+
+using namespace damask;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A sender and one attempt after the other to one target.
+struct Sending {
+    explicit Sending(const FakeTarget &target, SenderOptions options = {})
+        : sender(clock, metrics, options)
+        , to{.name = "pool/a", .address = "127.0.0.1", .port = target.port(), .connectionShare = 2}
+    {
+        request.method = "GET";
+        request.path = "/x?y=%2Fz";
+        request.host = "dance.example";
+        request.requestId = "r-1";
+        clock.pause();
+    }
+    AttemptResult get(Duration timeLeft = 5s)
+    {
+        request.method = "GET";
+        request.body.clear();
+        return send(true, timeLeft);
+    }
+    AttemptResult post(Duration timeLeft = 5s)
+    {
+        request.method = "POST";
+        request.body = "seat=4";
+        return send(false, timeLeft);
+    }
+    AttemptResult send(bool idempotent, Duration timeLeft)
+    {
+        return sender.send(
+            {.address = to, .request = request, .timeLeft = timeLeft, .idempotent = idempotent, .cancel = &cancel});
+    }
+    ConnectionCounts counts() const
+    {
+        return sender.connections(to.address, to.port);
+    }
+
+    Clock clock;
+    Metrics metrics;
+    Sender sender;
+    TargetAddress to;
+    CallRequest request;
+    CancelToken cancel;
+};
+
+FakeTarget::Reply always(std::string_view bytes, bool close = false)
+{
+    return [bytes = std::string(bytes), close](int, const std::string &) {
+        return FakeReply{bytes, close, false};
+    };
+}
+
+FakeReply silence()
+{
+    return {.bytes = {}, .close = false, .silent = true};
+}
+
+void expectClosed(std::string_view answer, Code code, bool closes = false)
+{
+    FakeTarget target(always(answer, closes));
+    Sending it(target, {.maxAnswerBytes = 1000});
+    const AttemptResult got = it.get(300ms);
+    cr_assert(got.end == AttemptEnd::Lost);
+    cr_assert(got.code == code, "code %d for %s", codeNumber(got.code), std::string(answer.substr(0, 100)).c_str());
+    cr_assert(it.counts().open == 0, "the connection is closed");
+}
+
+} // namespace
+
+Test(sender, passes_an_answer_on_unchanged_and_keeps_the_connection)
+{
+    FakeTarget target(always(wholeAnswer("caf\xc3\xa9", "X-A: a%0d%0ab\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
+                                                        "X-Damask-Load: inflight=3; slots=6\r\n")));
+    Sending it(target);
+    for (int n = 0; n < 3; ++n) {
+        const AttemptResult got = it.get();
+        cr_assert(got.end == AttemptEnd::Answered);
+        cr_assert(got.answer.body == "caf\xc3\xa9");
+        cr_assert(got.answer.headers.size() == 1 && got.answer.headers[0].value == "a%0d%0ab");
+        cr_assert(got.load && got.load->inFlight == 3 && got.load->slots == 6 && !got.load->draining);
+        cr_assert((got.connectTime == 0s));
+    }
+    cr_assert(target.accepted() == 1);
+    cr_assert(it.counts().open == 1 && it.counts().idle == 1);
+}
+
+Test(sender, writes_the_head_as_the_contract_says)
+{
+    FakeTarget target(always(wholeAnswer("")));
+    Sending it(target);
+    it.request.depth = 2;
+    it.request.headers = {
+        {"Accept-Encoding", "br"}, {"Connection", "X-Hop"}, {"X-Hop", "1"}, {"Expect", "100-continue"}};
+    cr_assert(it.get(1500ms).end == AttemptEnd::Answered);
+    cr_assert(target.requests().at(0)
+              == "GET /x?y=%2Fz HTTP/1.1\r\nHost: dance.example\r\nAccept-Encoding: br\r\nX-Request-Id: r-1\r\n"
+                 "X-Damask-Deadline: 1500\r\nX-Damask-Depth: 3\r\nX-Damask-Attempt: 1\r\n\r\n");
+}
+
+Test(sender, reads_chunks_to_their_end_only)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    FakeTarget target(always(head + "4\r\nlist\r\n3\r\ning\r\n0\r\n\r\n"));
+    Sending it(target);
+    cr_assert(it.get().answer.body == "listing");
+    cr_assert(it.counts().idle == 1);
+    expectClosed(head + "4\r\nlist\r\n", Code::BadAnswer, true);
+    expectClosed(head + "4\r\nlistX\r\n0\r\n\r\n", Code::BadAnswer, true);
+    expectClosed(head + "zz\r\nlist\r\n0\r\n\r\n", Code::BadAnswer, true);
+}
+
+Test(sender, never_takes_a_truncated_or_malformed_answer_for_whole)
+{
+    expectClosed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", Code::BadAnswer, true);
+    expectClosed("HTTP/1.1 200 OK\r\n\r\nended by close", Code::BadAnswer, true);
+    expectClosed("HTTP/1.1 200 OK\r\nContent-Length: 5x\r\n\r\nshort", Code::BadAnswer);
+    expectClosed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nshort", Code::BadAnswer);
+    expectClosed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nshort", Code::BadAnswer);
+    expectClosed("HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 5\r\n\r\nshort", Code::BadAnswer);
+    expectClosed("HTTP/1.1 200 OK\r\nContent-Length: 5", Code::BadAnswer, true);
+    expectClosed("nonsense\r\n\r\n", Code::BadAnswer, true);
+    expectClosed("HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n", Code::BadAnswer);
+    expectClosed("", Code::ConnectionLost, true);
+    expectClosed(wholeAnswer(std::string(1001, 'x')), Code::AnswerTooLarge);
+    expectClosed("HTTP/1.1 200 OK\r\nX-Big: " + std::string(70000, 'x') + "\r\n", Code::AnswerTooLarge);
+}
+
+Test(sender, takes_answers_that_have_no_body)
+{
+    for (const std::string_view status : {"204 No Content", "304 Not Modified"}) {
+        FakeTarget target(always("HTTP/1.1 " + std::string(status) + "\r\nX-A: 1\r\n\r\n"));
+        Sending it(target);
+        cr_assert(it.get().end == AttemptEnd::Answered);
+        cr_assert(it.get().end == AttemptEnd::Answered);
+        cr_assert(target.accepted() == 1);
+    }
+    FakeTarget target(always("HTTP/1.1 200 OK\r\nContent-Length: 700\r\n\r\n"));
+    Sending it(target);
+    it.request.method = "HEAD";
+    cr_assert(it.send(true, 5s).end == AttemptEnd::Answered);
+    cr_assert(it.counts().idle == 1);
+}
+
+Test(sender, closes_a_connection_that_carries_more_than_the_answer)
+{
+    FakeTarget target(always(wholeAnswer("mine") + wholeAnswer("another's")));
+    Sending it(target);
+    cr_assert(it.get().answer.body == "mine");
+    cr_assert(it.get().answer.body == "mine", "the second answer on the old connection reaches nobody");
+    cr_assert(target.accepted() == 2);
+}
+
+Test(sender, takes_a_refusal_for_not_run_only_by_its_documented_signal)
+{
+    FakeTarget refuses(always(wholeAnswer("", "X-Damask-Refused: not-run\r\n", "503 Service Unavailable")));
+    Sending first(refuses);
+    cr_assert(first.post().end == AttemptEnd::Refused);
+    FakeTarget limits(always(wholeAnswer("", "X-Damask-Refused: not-run\r\n", "429 Too Many Requests")));
+    Sending second(limits);
+    const AttemptResult got = second.post();
+    cr_assert(got.end == AttemptEnd::Refused && got.code == Code::TargetRefused);
+    FakeTarget answers(always(wholeAnswer("", "", "503 Service Unavailable")));
+    Sending third(answers);
+    cr_assert(third.post().end == AttemptEnd::Answered);
+}
+
+Test(sender, sends_a_post_once_when_the_target_reads_it_and_closes)
+{
+    FakeTarget target([](int, const std::string &request) {
+        const bool post = request.starts_with("POST");
+        return post ? FakeReply{{}, true, false} : FakeReply{wholeAnswer("ok"), false, false};
+    });
+    Sending it(target);
+    cr_assert(it.post().end == AttemptEnd::Lost, "on a fresh connection");
+    cr_assert(it.get().end == AttemptEnd::Answered);
+    const AttemptResult got = it.post();
+    cr_assert(got.end == AttemptEnd::Lost && got.code == Code::ConnectionLost, "on a kept connection");
+    cr_assert((got.connectTime == 0s));
+    cr_assert(target.requests().size() == 3, "each was sent once");
+}
+
+Test(sender, sends_a_post_only_where_an_answer_came_a_moment_ago)
+{
+    FakeTarget target(always(wholeAnswer("ok")));
+    Sending it(target);
+    cr_assert(it.post().end == AttemptEnd::Answered);
+    it.clock.advance(400ms);
+    cr_assert(it.post().end == AttemptEnd::Answered);
+    cr_assert(target.accepted() == 1);
+    it.clock.advance(600ms);
+    cr_assert(it.post().end == AttemptEnd::Answered);
+    cr_assert(target.accepted() == 2, "a fresh connection");
+    it.clock.advance(600ms);
+    cr_assert(it.get().end == AttemptEnd::Answered);
+    cr_assert(target.accepted() == 2, "an idempotent one goes on a kept connection");
+}
+
+Test(sender, uses_no_connection_again_that_has_gone_silent)
+{
+    FakeTarget target([](int, const std::string &request) {
+        return request.find("/hang") != std::string::npos ? silence() : FakeReply{wholeAnswer("ok"), false, false};
+    });
+    Sending it(target);
+    cr_assert(it.get().end == AttemptEnd::Answered);
+    it.request.path = "/hang";
+    const AttemptResult got = it.get(50ms);
+    cr_assert(got.end == AttemptEnd::Lost && got.code == Code::AnswerTimeout);
+    cr_assert(it.counts().open == 0);
+    it.request.path = "/";
+    cr_assert(it.get().end == AttemptEnd::Answered);
+    cr_assert(target.accepted() == 2);
+}
+
+Test(sender, keeps_to_the_share_of_a_target)
+{
+    FakeTarget target(always(wholeAnswer("ok")));
+    Sending it(target);
+    it.to.connectionShare = 0;
+    const AttemptResult got = it.get();
+    cr_assert(got.end == AttemptEnd::NotSent && got.code == Code::TargetShares);
+    it.to.connectionShare = 1;
+    cr_assert(it.get().end == AttemptEnd::Answered);
+    it.clock.advance(1s);
+    cr_assert(it.post().end == AttemptEnd::Answered, "a stale idle connection gives its place to a fresh one");
+    cr_assert(it.counts().open == 1);
+}
+
+Test(sender, closes_idle_connections_that_are_old)
+{
+    FakeTarget target(always(wholeAnswer("ok")));
+    Sending it(target);
+    it.get();
+    it.clock.advance(16s);
+    it.get();
+    cr_assert(target.accepted() == 2);
+    it.clock.advance(16s);
+    it.sender.closeIdle();
+    cr_assert(it.counts().open == 0);
+}
+
+Test(sender, uses_no_kept_connection_that_the_target_has_closed)
+{
+    FakeTarget target(always(wholeAnswer("ok"), true));
+    Sending it(target);
+    for (int n = 1; n <= 3; ++n) {
+        cr_assert(it.get().end == AttemptEnd::Answered);
+        cr_assert(target.accepted() == n);
+        target.waitForClosed(n);
+    }
+}
+
+Test(sender, says_not_sent_when_no_connection_can_be_made)
+{
+    uint16_t port = 0;
+    {
+        FakeTarget gone(always(""));
+        port = gone.port();
+    }
+    FakeTarget target(always(""));
+    Sending it(target);
+    it.to.port = port;
+    const AttemptResult got = it.post();
+    cr_assert(got.end == AttemptEnd::NotSent && got.code == Code::ConnectFailed);
+    it.to.address = "not-a-number";
+    cr_assert(it.post().end == AttemptEnd::NotSent);
+    cr_assert(it.counts().open == 0);
+}
+
+Test(sender, a_cancel_closes_the_connection_and_its_late_answer_reaches_nobody)
+{
+    CancelToken *cancel = nullptr;
+    FakeTarget target([&cancel](int, const std::string &request) {
+        if (request.find("/late") == std::string::npos) {
+            return FakeReply{wholeAnswer("mine"), false, false};
+        }
+        cancel->cancel();
+        return FakeReply{wholeAnswer("late"), false, false};
+    });
+    Sending it(target);
+    cancel = &it.cancel;
+    it.request.path = "/late";
+    const AttemptResult got = it.get();
+    cr_assert(got.end == AttemptEnd::Lost && got.code == Code::Cancelled);
+    cr_assert(it.counts().open == 0);
+    cr_assert(it.get().end == AttemptEnd::NotSent, "a cancelled call sends nothing");
+    CancelToken fresh;
+    it.request.path = "/";
+    const AttemptResult next =
+        it.sender.send({.address = it.to, .request = it.request, .timeLeft = 5s, .idempotent = true, .cancel = &fresh});
+    cr_assert(next.answer.body == "mine");
+}
+
+Test(sender, probes_the_load_of_a_target)
+{
+    std::string body = R"({"inFlight": 3, "slots": 6, "draining": true})";
+    FakeTarget target([&body](int, const std::string &) { return FakeReply{wholeAnswer(body), false, false}; });
+    Sending it(target);
+    const auto report = it.sender.probe("127.0.0.1", target.port(), 1s);
+    cr_assert(report && report->inFlight == 3 && report->slots == 6 && report->draining);
+    for (const std::string_view bad :
+         {"", "[]", "{}", R"({"inFlight": -1, "slots": 6})", R"({"inFlight": 1e99, "slots": 6})",
+          R"({"inFlight": 1, "slots": 6, "draining": 1})", "{\"inFlight\": \"\xff\"}"}) {
+        body = bad;
+        const auto got = it.sender.probe("127.0.0.1", target.port(), 1s);
+        cr_assert(!got && got.error().code == Code::BadAnswer);
+    }
+    cr_assert(it.sender.probe("127.0.0.1", 1, 1s).error().code == Code::ConnectFailed);
+}
--- /dev/null
+++ b/tests/fakes/fake_back.h
@@ -0,0 +1,176 @@
+/// Permits and attempts without a balancer or a network: what a test says happens, and all is written down.
+#pragma once
+
+#include "base/check.h"
+#include "base/clock.h"
+#include "base/lock.h"
+#include "route/dispatcher.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace damask {
+
+inline AttemptResult answered(int status = 200, std::string_view body = "ok")
+{
+    AttemptResult out;
+    out.end = AttemptEnd::Answered;
+    out.answer.status = status;
+    out.answer.outcome = Outcome::Answered;
+    out.answer.body = body;
+    return out;
+}
+
+inline AttemptResult ended(AttemptEnd end, Code code)
+{
+    AttemptResult out;
+    out.end = end;
+    out.code = code;
+    return out;
+}
+
+/// A configuration of one service with one pool, which a test changes.
+inline Configuration oneService(std::string_view name = "listings")
+{
+    Configuration out;
+    out.revision = 1;
+    Service service;
+    service.name = name;
+    service.pool = "pool";
+    out.services.push_back(service);
+    Rule rule;
+    rule.name = "all";
+    rule.service = name;
+    out.rules.push_back(rule);
+    return out;
+}
+
+inline CallRequest request(std::string_view method = "GET", std::string_view path = "/")
+{
+    CallRequest out;
+    out.method = method;
+    out.path = path;
+    out.host = "dance.example";
+    out.requestId = "r-1";
+    return out;
+}
+
+/// One attempt as the fake saw it.
+struct SeenAttempt {
+    std::string target;
+    std::string requestId;
+    int         number = 0;
+    bool        idempotent = false;
+    Duration    timeLeft{0};
+};
+
+class FakeBack
+{
+public:
+    using Send = std::function<AttemptResult(const Attempt &)>;
+
+    explicit FakeBack(std::vector<std::string> targets = {"pool/a", "pool/b", "pool/c"})
+        : m_targets(std::move(targets))
+    {
+    }
+    ~FakeBack()
+    {
+        DAMASK_ASSERT(m_out.empty(), "each permit is finished");
+    }
+
+    DispatcherHooks hooks(Send send)
+    {
+        DispatcherHooks out;
+        out.send = [this, send = std::move(send)](const Attempt &it) {
+            {
+                LockGuard lock(m_mutex);
+                m_seen.push_back({it.address.name, it.request.requestId, it.number, it.idempotent, it.timeLeft});
+            }
+            return send(it);
+        };
+        out.acquire = [this](const AcquireRequest &it) {
+            return acquire(it);
+        };
+        out.finish = [this](const Permit &permit, const PermitReport &report) {
+            finish(permit, report);
+        };
+        out.status = [this](std::string_view) {
+            return status();
+        };
+        return out;
+    }
+    void refuse(Code code) // permits from now on; Ok grants them again
+    {
+        LockGuard lock(m_mutex);
+        m_refuse = code;
+    }
+    std::vector<SeenAttempt> seen() const
+    {
+        LockGuard lock(m_mutex);
+        return m_seen;
+    }
+    std::vector<PermitReport> reports() const
+    {
+        LockGuard lock(m_mutex);
+        return m_reports;
+    }
+    std::vector<std::string> avoided() const
+    {
+        LockGuard lock(m_mutex);
+        return m_avoided;
+    }
+
+private:
+    Result<Permit> acquire(const AcquireRequest &it)
+    {
+        LockGuard lock(m_mutex);
+        m_avoided.emplace_back(it.avoid);
+        if (m_refuse != Code::Ok) {
+            return fail(m_refuse);
+        }
+        auto address = std::make_shared<TargetAddress>();
+        address->name = m_targets[m_next % m_targets.size()];
+        if (address->name == it.avoid) {
+            address->name = m_targets[++m_next % m_targets.size()];
+        }
+        ++m_next;
+        Permit out;
+        out.id = ++m_permits;
+        out.address = address;
+        out.service = it.service;
+        m_out[out.id] = address->name;
+        return out;
+    }
+    void finish(const Permit &permit, const PermitReport &report)
+    {
+        LockGuard lock(m_mutex);
+        DAMASK_ASSERT(m_out.erase(permit.id) == 1, "a permit is finished exactly once");
+        m_reports.push_back(report);
+    }
+    std::vector<TargetStatus> status() const
+    {
+        std::vector<TargetStatus> out;
+        for (const std::string &it : m_targets) {
+            TargetStatus target;
+            target.name = it;
+            target.estimate = 2.5;
+            out.push_back(target);
+        }
+        return out;
+    }
+
+    std::vector<std::string>        m_targets;
+    mutable RankedMutex             m_mutex{LockRank::Leaf};
+    std::map<uint64_t, std::string> m_out;
+    std::vector<SeenAttempt>        m_seen;
+    std::vector<PermitReport>       m_reports;
+    std::vector<std::string>        m_avoided;
+    Code                            m_refuse = Code::Ok;
+    uint64_t                        m_permits = 0;
+    size_t                          m_next = 0;
+};
+
+} // namespace damask
--- /dev/null
+++ b/tests/fakes/fake_target.h
@@ -0,0 +1,175 @@
+/// A target on loopback that does with each request what a test says, byte by byte, over a raw socket.
+#pragma once
+
+#include "base/clock.h"
+#include "base/lock.h"
+#include "base/scope.h"
+#include "base/thread.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <criterion/criterion.h>
+#include <functional>
+#include <netinet/in.h>
+#include <poll.h>
+#include <string>
+#include <string_view>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+namespace damask {
+
+/// What the target does with one request: the bytes it sends, and whether it then closes or says no more.
+struct FakeReply {
+    std::string bytes;
+    bool        close = false;  // after the bytes
+    bool        silent = false; // keeps the connection open and reads nothing more
+};
+
+/// An answer with a length.
+inline std::string wholeAnswer(std::string_view body, std::string_view fields = {}, std::string_view status = "200 OK")
+{
+    std::string out = "HTTP/1.1 " + std::string(status) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    out += fields;
+    out += "\r\n";
+    out += body;
+    return out;
+}
+
+class FakeTarget
+{
+public:
+    /// Called with the number of the connection and the whole request; from the target's own thread.
+    using Reply = std::function<FakeReply(int connection, const std::string &request)>;
+
+    explicit FakeTarget(Reply reply)
+        : m_reply(std::move(reply))
+        , m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+        , m_stop(eventfd(0, EFD_CLOEXEC))
+    {
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof to;
+        cr_assert(bind(m_listener.get(), reinterpret_cast<sockaddr *>(&to), size) == 0);
+        cr_assert(listen(m_listener.get(), 128) == 0);
+        getsockname(m_listener.get(), reinterpret_cast<sockaddr *>(&to), &size);
+        m_port = ntohs(to.sin_port);
+        m_thread = Thread("fake-target", [this] { serve(); });
+    }
+    ~FakeTarget()
+    {
+        const uint64_t one = 1;
+        cr_assert(write(m_stop.get(), &one, sizeof one) == sizeof one);
+        m_thread.join();
+    }
+
+    uint16_t port() const
+    {
+        return m_port;
+    }
+    std::vector<std::string> requests() const // whole ones, in the order in which they came
+    {
+        LockGuard lock(m_mutex);
+        return m_requests;
+    }
+    void waitForClosed(int connections) const // until the target has closed so many by itself
+    {
+        LockGuard lock(m_mutex);
+        while (m_closed < connections) {
+            m_changed.wait(lock);
+        }
+    }
+    int accepted() const
+    {
+        LockGuard lock(m_mutex);
+        return m_accepted;
+    }
+
+private:
+    struct Peer {
+        FileDescriptor socket;
+        std::string    read;
+        int            number = 0;
+        bool           silent = false;
+    };
+
+    void serve()
+    {
+        std::vector<Peer> peers;
+        while (true) {
+            std::vector<pollfd> waits{{m_stop.get(), POLLIN, 0}, {m_listener.get(), POLLIN, 0}};
+            for (const Peer &it : peers) {
+                waits.push_back({it.silent ? -1 : it.socket.get(), POLLIN, 0});
+            }
+            poll(waits.data(), waits.size(), -1);
+            if (waits[0].revents != 0) {
+                return;
+            }
+            for (size_t n = peers.size(); n > 0; --n) {
+                if (waits[n + 1].revents != 0 && !take(peers[n - 1])) {
+                    peers.erase(peers.begin() + static_cast<ptrdiff_t>(n) - 1);
+                }
+            }
+            if (waits[1].revents != 0) {
+                LockGuard lock(m_mutex);
+                peers.push_back({FileDescriptor(accept(m_listener.get(), nullptr, nullptr)), {}, ++m_accepted, false});
+            }
+        }
+    }
+    /// Reads and serves what came; false when the connection has ended.
+    bool take(Peer &peer)
+    {
+        std::array<char, 4096> buf{};
+        const ssize_t          n = recv(peer.socket.get(), buf.data(), buf.size(), 0);
+        if (n <= 0) {
+            return false;
+        }
+        peer.read.append(buf.data(), static_cast<size_t>(n));
+        while (const size_t whole = wholeRequest(peer.read)) {
+            const std::string request = peer.read.substr(0, whole);
+            peer.read.erase(0, whole);
+            {
+                LockGuard lock(m_mutex);
+                m_requests.push_back(request);
+            }
+            const FakeReply reply = m_reply(peer.number, request);
+            send(peer.socket.get(), reply.bytes.data(), reply.bytes.size(), MSG_NOSIGNAL);
+            if (reply.close) {
+                peer.socket.reset();
+                LockGuard lock(m_mutex);
+                ++m_closed;
+                m_changed.notifyAll();
+                return false;
+            }
+            peer.silent = peer.silent || reply.silent;
+        }
+        return true;
+    }
+    static size_t wholeRequest(std::string_view read)
+    {
+        const size_t end = read.find("\r\n\r\n");
+        if (end == std::string_view::npos) {
+            return 0;
+        }
+        const size_t at = read.substr(0, end).find("Content-Length: ");
+        const size_t length = at == std::string_view::npos ? 0 : std::stoul(std::string(read.substr(at + 16, 20)));
+        return read.size() >= end + 4 + length ? end + 4 + length : 0;
+    }
+
+    Reply                    m_reply;
+    FileDescriptor           m_listener;
+    FileDescriptor           m_stop;
+    uint16_t                 m_port = 0;
+    Clock                    m_clock;
+    mutable RankedMutex      m_mutex{LockRank::Leaf};
+    mutable Condition        m_changed{m_clock};
+    int                      m_closed = 0;
+    std::vector<std::string> m_requests;
+    int                      m_accepted = 0;
+    Thread                   m_thread;
+};
+
+} // namespace damask
--- /dev/null
+++ b/tests/route/test_why.cpp
@@ -0,0 +1,75 @@
+#include "fakes/fake_back.h"
+#include "route/dispatcher.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+using namespace damask;
+using nlohmann::json;
+
+namespace {
+
+struct Explained {
+    explicit Explained(AttemptResult result, size_t events = 4)
+        : dispatcher(clock, metrics, {.whyEvents = events}, back.hooks([result](const Attempt &) { return result; }))
+    {
+        clock.pause();
+        dispatcher.apply(std::make_shared<Configuration>(oneService()));
+    }
+    void call(std::string_view requestId)
+    {
+        CallRequest it = request("POST");
+        it.requestId = requestId;
+        it.arrivedAt = clock.now();
+        CancelToken cancel;
+        dispatcher.dispatch(it, cancel);
+    }
+
+    Clock clock;
+    Metrics metrics;
+    FakeBack back;
+    Dispatcher dispatcher;
+};
+
+} // namespace
+
+Test(why, says_what_was_known_and_decided)
+{
+    Explained it(ended(AttemptEnd::Lost, Code::AnswerTimeout));
+    it.call("r\"\n\xff");
+    const json got = json::parse(it.dispatcher.why("r\"\n\xff"));
+    cr_assert(got["service"] == "listings" && got["rule"] == "all" && got["revision"] == 1);
+    cr_assert(got["outcome"] == "unknown" && got["codeName"] == "AnswerTimeout" && got["status"] == 504);
+    cr_assert(got["attempts"].size() == 1 && got["attempts"][0]["target"] == "pool/a");
+    cr_assert(got["attempts"][0]["noRetry"] == "not-idempotent");
+    cr_assert(got["known"].size() == 3 && got["known"][2]["estimate"] == 2.5);
+}
+
+Test(why, forgets_the_oldest_call_first)
+{
+    Explained it(answered());
+    for (const std::string_view id : {"1", "2", "3", "4", "5"}) {
+        it.call(id);
+    }
+    cr_assert(it.dispatcher.why("1").empty() && !it.dispatcher.why("2").empty());
+    const json list = json::parse(it.dispatcher.whyService("listings", 2));
+    cr_assert(list.size() == 2 && list[0]["requestId"] == "5" && list[1]["requestId"] == "4");
+    cr_assert(it.dispatcher.whyService("listings", 0) == "[]" && it.dispatcher.whyService("none", 9) == "[]");
+    cr_assert(it.dispatcher.why("").empty());
+}
+
+Test(why, a_long_request_id_is_found_and_cut)
+{
+    Explained it(answered());
+    const std::string id(5000, 'x');
+    it.call(id);
+    cr_assert(json::parse(it.dispatcher.why(id))["requestId"] == id.substr(0, 63));
+    cr_assert(it.dispatcher.why(id.substr(0, 63)).empty());
+}
+
+Test(why, a_ring_of_no_size_keeps_nothing)
+{
+    Explained it(answered(), 0);
+    it.call("1");
+    cr_assert(it.dispatcher.why("1").empty() && it.dispatcher.whyService("listings", 5) == "[]");
+}
