Measure tails of all policies against fake targets in virtual time

Cause: policies need one honest bench. Change: bench-tail drives 15 real balancers against small fakes.

--- /dev/null
+++ b/bench/tail/driver.cpp
@@ -0,0 +1,504 @@
+#include "tail/driver.h"
+
+#include "base/check.h"
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "route/balancer.h"
+#include "tail/fake_target.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+
+namespace damask::bench {
+
+namespace {
+
+constexpr size_t Entries = 15;
+constexpr size_t Services = 3;
+constexpr size_t DataCentres = 6;
+constexpr int MostAttempts = 3;
+constexpr Duration Deadline = std::chrono::seconds(2);
+constexpr Duration RefusalTime = std::chrono::microseconds(200); // of a target that refuses
+constexpr Duration WithinRegion = std::chrono::microseconds(1500);
+constexpr Duration BetweenRegions = std::chrono::milliseconds(8);
+constexpr double QuietFor = 30;     // ms, mean, between noisy times of a neighbour
+constexpr double NoisyFor = 10;     // ms, mean
+constexpr double NoisySpeed = 0.35; // of a target beside a noisy neighbour
+constexpr std::array<std::string_view, Services> ServiceNames{"listings", "reservations", "payments"};
+constexpr std::array<std::string_view, DataCentres> DataCentreNames{"a1", "a2", "b1", "b2", "c1", "c2"};
+constexpr std::array<std::string_view, DataCentres> RegionNames{"a", "a", "b", "b", "c", "c"};
+constexpr std::array<std::string_view, 7> Scenarios{"quiet",  "noisy",    "stale",   "lying",
+                                                    "slow10", "failfast", "draining"};
+constexpr std::array<Deployment, 2> Deployments{Deployment{"tanzcafe", 6, {20, 10, 10}, 8},
+                                                Deployment{"condor", 3, {15, 10, 10}, 8}};
+
+enum class Kind {
+    Arrival,   // a: service
+    Reach,     // a: call
+    Done,      // a: target, b: generation
+    Speed,     // a: target
+    Back,      // a: call
+    Timeout,   // a: call
+    WaitCheck, // a: entry * Services + service
+    FaultStart // none
+};
+
+struct Event {
+    TimePoint at;
+    uint64_t order;
+    Kind kind;
+    uint64_t a;
+    uint64_t b;
+
+    bool operator>(const Event &other) const
+    {
+        return at != other.at ? at > other.at : order > other.order;
+    }
+};
+
+struct Host {
+    FakeTarget target;
+    std::string name;
+    size_t service;
+    size_t dataCentre;
+    uint64_t generation = 0;
+    int committed = 0; // sent and not answered: what a lag-free view knows
+    bool noisy = false;
+    std::mt19937_64 random;
+};
+
+struct Call {
+    size_t entry;
+    size_t service;
+    TimePoint arrivedAt;
+    Duration work;
+    int attempts = 0;
+    size_t host = 0;
+    Permit permit;
+    PermitReport report;
+    std::string avoid;
+    bool sent = false;     // a permit is out
+    bool onTarget = false; // and the target has not answered
+    bool over = false;
+};
+
+struct Entry {
+    Metrics metrics;
+    Balancer balancer;
+    std::array<TimePoint, Services> nextCheck;
+
+    Entry(Clock &runClock, const BalancerOptions &options, BalancerHooks hooks)
+        : balancer(runClock, metrics, options, std::move(hooks))
+    {
+        nextCheck.fill(Never);
+    }
+};
+
+Duration oneWay(size_t left, size_t right)
+{
+    if (left == right) {
+        return Duration(0);
+    }
+    return RegionNames[left] == RegionNames[right] ? WithinRegion : BetweenRegions;
+}
+
+double exponential(std::mt19937_64 &random, double mean)
+{
+    return std::exponential_distribution<double>(1 / mean)(random);
+}
+
+/// Log-normal with a coefficient of variation of one.
+double drawWork(std::mt19937_64 &random, double mean)
+{
+    const double variance = std::log(2.0);
+    return std::lognormal_distribution<double>(std::log(mean) - variance / 2, std::sqrt(variance))(random);
+}
+
+class Run
+{
+public:
+    explicit Run(const RunOptions &options)
+        : m_options(options)
+        , m_arrivals(options.seed)
+        , m_noisy(options.scenario != "quiet")
+    {
+        m_clock.pause();
+        m_start = m_clock.now();
+        m_measureFrom = m_start + options.warmUp;
+        m_end = m_measureFrom + options.length;
+        makeHosts();
+        makeEntries();
+        for (size_t n = 0; n < Services; ++n) {
+            push(m_start, Kind::Arrival, n);
+        }
+        push(m_start + options.warmUp / 2, Kind::FaultStart);
+    }
+
+    RunResult go()
+    {
+        while (!m_events.empty()) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_clock.advance(event.at - now());
+            handle(event);
+        }
+        for (const auto &it : m_entries) {
+            DAMASK_ASSERT(it->balancer.inFlight() == 0, "each permit is finished by the end of a run");
+        }
+        std::sort(m_result.latencies.begin(), m_result.latencies.end());
+        return std::move(m_result);
+    }
+
+private:
+    TimePoint now() const
+    {
+        return m_clock.now();
+    }
+
+    void push(TimePoint at, Kind kind, uint64_t a = 0, uint64_t b = 0)
+    {
+        m_events.push({at, m_order++, kind, a, b});
+    }
+
+    void makeHosts()
+    {
+        for (size_t service = 0; service < Services; ++service) {
+            for (int n = 0; n < m_options.deployment.targets[service]; ++n) {
+                FakeTargetOptions options;
+                options.slots = m_options.deployment.slots;
+                options.queueLimit = 8 * options.slots;
+                if (m_options.scenario == "stale") {
+                    options.reports = Reports::Lagging;
+                }
+                if (m_options.scenario == "lying" && n % 4 == 0) {
+                    options.reports = n % 8 == 0 ? Reports::SaysIdle : Reports::SaysLoaded;
+                }
+                const std::string name = std::string(ServiceNames[service]) + "/t" + std::to_string(n);
+                Host host{FakeTarget(options), name, service, static_cast<size_t>(n) % DataCentres};
+                host.random.seed(m_options.seed * 1000 + m_hosts.size());
+                m_byName[name] = m_hosts.size();
+                m_hosts.push_back(std::move(host));
+                if (m_noisy) {
+                    push(m_start, Kind::Speed, m_hosts.size() - 1);
+                }
+            }
+        }
+    }
+
+    Configuration configuration() const
+    {
+        Configuration n;
+        n.revision = 1;
+        for (size_t it = 0; it < DataCentres; ++it) {
+            n.dataCentres.push_back({std::string(DataCentreNames[it]), 1, std::string(RegionNames[it])});
+        }
+        n.links = {{"a--b", 1, BetweenRegions}, {"a--c", 1, BetweenRegions}, {"b--c", 1, BetweenRegions}};
+        for (const std::string_view it : ServiceNames) {
+            Service service;
+            service.name = it;
+            service.pool = it;
+            n.services.push_back(service);
+            n.pools.push_back({std::string(it), 1, {}});
+        }
+        for (const Host &it : m_hosts) {
+            const std::string name = it.name.substr(it.name.find('/') + 1);
+            n.pools[it.service].targets.push_back(
+                {name, "127.0.0.1", 1, std::string(DataCentreNames[it.dataCentre]), m_options.deployment.slots});
+        }
+        return n;
+    }
+
+    void makeEntries()
+    {
+        const auto shared = std::make_shared<const Configuration>(configuration());
+        for (size_t n = 0; n < Entries; ++n) {
+            BalancerHooks hooks;
+            hooks.pick = policyByName(m_options.policy);
+            hooks.random = seededRandom(m_options.seed * 100 + n);
+            if (m_options.policy == "oracle") {
+                hooks.truth = [this](std::string_view name, TargetView &view) {
+                    const Host &host = m_hosts[m_byName.find(name)->second];
+                    view.trueInFlight = host.committed;
+                    view.trueSpeed = static_cast<float>(host.target.speed());
+                };
+            }
+            BalancerOptions options;
+            options.dataCentre = DataCentreNames[n % DataCentres];
+            m_entries.push_back(std::make_unique<Entry>(m_clock, options, std::move(hooks)));
+            m_entries.back()->balancer.apply(shared);
+        }
+    }
+
+    double callsPerMs(size_t service) const
+    {
+        const double speed = m_noisy ? (QuietFor + NoisyFor * NoisySpeed) / (QuietFor + NoisyFor) : 1;
+        const double slots = m_options.deployment.slots * m_options.deployment.targets[service];
+        return slots * speed / m_options.deployment.meanWork * m_options.load / 100;
+    }
+
+    void handle(const Event &event)
+    {
+        switch (event.kind) {
+        case Kind::Arrival:
+            arrive(event.a);
+            break;
+        case Kind::Reach:
+            reach(event.a);
+            break;
+        case Kind::Done:
+            done(event.a, event.b);
+            break;
+        case Kind::Speed:
+            changeSpeed(event.a);
+            break;
+        case Kind::Back:
+            back(event.a);
+            break;
+        case Kind::Timeout:
+            timeOut(event.a);
+            break;
+        case Kind::WaitCheck:
+            checkWaits(event.a / Services, event.a % Services, true);
+            break;
+        case Kind::FaultStart:
+            startFaults();
+            break;
+        }
+    }
+
+    void arrive(size_t service)
+    {
+        if (now() >= m_end) {
+            return;
+        }
+        push(now() + fromMilliseconds(exponential(m_arrivals, 1 / callsPerMs(service))), Kind::Arrival, service);
+        Call call{m_arrivals() % Entries, service, now(),
+                  fromMilliseconds(drawWork(m_arrivals, m_options.deployment.meanWork))};
+        m_calls.push_back(std::move(call));
+        m_result.calls += now() >= m_measureFrom ? 1 : 0;
+        push(now() + Deadline, Kind::Timeout, m_calls.size() - 1);
+        attempt(m_calls.size() - 1);
+    }
+
+    void attempt(uint64_t id)
+    {
+        Call &call = m_calls[id];
+        ++call.attempts;
+        AcquireRequest request;
+        request.service = ServiceNames[call.service];
+        request.deadline = call.arrivedAt + Deadline;
+        request.idempotent = call.service == 0;
+        request.avoid = call.avoid;
+        Entry &entry = *m_entries[call.entry];
+        const uint64_t waiting =
+            entry.balancer.acquireLater(request, [this, id](Result<Permit> result) { granted(id, std::move(result)); });
+        if (waiting != 0) {
+            checkWaits(call.entry, call.service, false);
+        }
+    }
+
+    void checkWaits(size_t entryIndex, size_t service, bool due)
+    {
+        Entry &entry = *m_entries[entryIndex];
+        TimePoint &known = entry.nextCheck[service];
+        if (due && known > now()) {
+            return;
+        }
+        const TimePoint next = entry.balancer.runWaits(ServiceNames[service]);
+        if (next != Never && (due || next < known || known <= now())) {
+            known = next;
+            push(next, Kind::WaitCheck, entryIndex * Services + service);
+        } else if (next == Never) {
+            known = Never;
+        }
+    }
+
+    void granted(uint64_t id, Result<Permit> result)
+    {
+        Call &call = m_calls[id];
+        if (!result) {
+            end(id, false);
+            m_result.refused += call.arrivedAt >= m_measureFrom ? 1 : 0;
+            return;
+        }
+        call.permit = std::move(*result);
+        call.sent = true;
+        call.onTarget = true;
+        call.host = m_byName.find(call.permit.address->name)->second;
+        Host &host = m_hosts[call.host];
+        ++host.committed;
+        m_result.attempts += call.arrivedAt >= m_measureFrom ? 1 : 0;
+        push(now() + oneWay(call.entry % DataCentres, host.dataCentre), Kind::Reach, id);
+    }
+
+    void reach(uint64_t id)
+    {
+        Call &call = m_calls[id];
+        if (!call.sent) {
+            return; // timed out on the way
+        }
+        Host &host = m_hosts[call.host];
+        if (host.target.arrive(id, call.work, now())) {
+            reschedule(call.host);
+            return;
+        }
+        call.report = {AttemptEnd::Refused, Code::TargetRefused, host.target.report(now()), 503};
+        answer(id, RefusalTime);
+    }
+
+    void done(size_t index, uint64_t generation)
+    {
+        Host &host = m_hosts[index];
+        if (generation != host.generation) {
+            return;
+        }
+        const uint64_t id = host.target.takeDone(now());
+        m_calls[id].report = {AttemptEnd::Answered, Code::Ok, host.target.report(now()), 200};
+        answer(id, Duration(0));
+        reschedule(index);
+    }
+
+    void answer(uint64_t id, Duration after)
+    {
+        Call &call = m_calls[id];
+        Host &host = m_hosts[call.host];
+        call.onTarget = false;
+        --host.committed;
+        push(now() + after + oneWay(call.entry % DataCentres, host.dataCentre), Kind::Back, id);
+    }
+
+    void reschedule(size_t index)
+    {
+        Host &host = m_hosts[index];
+        ++host.generation;
+        const TimePoint next = host.target.nextDone();
+        if (next != Never) {
+            push(std::max(next, now()), Kind::Done, index, host.generation);
+        }
+    }
+
+    void changeSpeed(size_t index)
+    {
+        Host &host = m_hosts[index];
+        if (now() >= m_end + Deadline) {
+            return;
+        }
+        const bool first = now() == m_start;
+        host.noisy = first ? exponential(host.random, 1) < NoisyFor / (NoisyFor + QuietFor) : !host.noisy;
+        host.target.setSpeed(host.noisy ? NoisySpeed : 1, now());
+        push(now() + fromMilliseconds(exponential(host.random, host.noisy ? NoisyFor : QuietFor)), Kind::Speed, index);
+        reschedule(index);
+    }
+
+    void back(uint64_t id)
+    {
+        Call &call = m_calls[id];
+        if (!call.sent) {
+            return;
+        }
+        call.sent = false;
+        const Permit permit = std::move(call.permit);
+        const PermitReport report = call.report;
+        m_entries[call.entry]->balancer.finish(permit, report);
+        if (report.end == AttemptEnd::Answered) {
+            end(id, true);
+        } else if (call.attempts < MostAttempts) {
+            call.avoid = permit.address->name;
+            attempt(id);
+        } else {
+            end(id, false);
+        }
+    }
+
+    void timeOut(uint64_t id)
+    {
+        Call &call = m_calls[id];
+        if (call.over || !call.sent) {
+            return; // a waiting call is refused by the balancer itself
+        }
+        call.sent = false;
+        if (call.onTarget) {
+            Host &host = m_hosts[call.host];
+            --host.committed;
+            host.target.cancel(id, now());
+            reschedule(call.host);
+        }
+        m_entries[call.entry]->balancer.finish(call.permit, {AttemptEnd::Lost, Code::AnswerTimeout, {}, 0});
+        end(id, false);
+    }
+
+    void end(uint64_t id, bool answered)
+    {
+        Call &call = m_calls[id];
+        call.over = true;
+        if (call.arrivedAt < m_measureFrom) {
+            return;
+        }
+        m_result.useful += answered ? 1 : 0;
+        m_result.latencies.push_back(toMilliseconds(answered ? now() - call.arrivedAt : Deadline));
+    }
+
+    void startFaults()
+    {
+        const auto fault = [&](size_t index, Fault kind) {
+            m_hosts[index].target.setFault(kind, now());
+            reschedule(index);
+        };
+        if (m_options.scenario == "slow10") {
+            fault(1, Fault::Slow);
+        } else if (m_options.scenario == "failfast") {
+            fault(1, Fault::FailFast);
+        } else if (m_options.scenario == "draining") {
+            fault(1, Fault::Draining);
+            fault(2, Fault::Draining);
+        }
+    }
+
+    RunOptions m_options;
+    Clock m_clock;
+    std::mt19937_64 m_arrivals;
+    bool m_noisy;
+    TimePoint m_start{};
+    TimePoint m_measureFrom{};
+    TimePoint m_end{};
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    uint64_t m_order = 0;
+    std::vector<Host> m_hosts;
+    std::map<std::string, size_t, std::less<>> m_byName;
+    std::vector<std::unique_ptr<Entry>> m_entries;
+    std::deque<Call> m_calls;
+    RunResult m_result;
+};
+
+} // namespace
+
+std::span<const Deployment> deployments()
+{
+    return Deployments;
+}
+
+std::span<const std::string_view> scenarios()
+{
+    return Scenarios;
+}
+
+RunResult run(const RunOptions &options)
+{
+    return Run(options).go();
+}
+
+double percentile(std::span<const double> sorted, double share)
+{
+    if (sorted.empty()) {
+        return 0;
+    }
+    const auto n = static_cast<size_t>(share * static_cast<double>(sorted.size() - 1));
+    return sorted[n];
+}
+
+} // namespace damask::bench
--- /dev/null
+++ b/bench/tail/driver.h
@@ -0,0 +1,55 @@
+/// Drives real balancers, one for each entry, against fake targets in virtual time with open-loop arrivals.
+///
+/// Every policy of a run sees the same arrivals, the same work of each call and the same neighbours.
+#pragma once
+
+#include "base/time.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace damask::bench {
+
+/// A user's fleet of today.
+struct Deployment {
+    std::string_view name;
+    int              slots = 6;       // of each target
+    int              targets[3] = {}; // of the three services
+    double           meanWork = 8;    // ms of one call on an undisturbed target
+};
+
+struct RunOptions {
+    std::string_view policy = "damask";
+    std::string_view scenario = "noisy";
+    Deployment       deployment;
+    double           load = 80; // percent of what the targets can do
+    uint64_t         seed = 1;
+    Duration         warmUp = std::chrono::seconds(1); // not measured
+    Duration         length = std::chrono::seconds(4); // measured, after the warm-up
+    double           probeBytesPerSecond = 0;          // budget of each entry and service; 0: no probes
+    double           probesPerSecond = 0;
+};
+
+/// What one run gave.
+struct RunResult {
+    std::vector<double> latencies;    // ms from arrival to answer, sorted; a lost call counts with its deadline
+    uint64_t            calls = 0;    // that arrived while measured
+    uint64_t            useful = 0;   // answered within their deadline
+    uint64_t            refused = 0;  // by the balancer, nothing sent
+    uint64_t            attempts = 0; // sent to targets
+    uint64_t            probes = 0;   // sent while measured
+    double              probeBytes = 0;
+    double              longestOverBudget = 0; // probes beyond rate and burst; never above 0
+};
+
+std::span<const Deployment>       deployments();
+std::span<const std::string_view> scenarios();
+
+RunResult run(const RunOptions &options);
+
+double percentile(std::span<const double> sorted, double share);
+
+} // namespace damask::bench
