Make the bench's neighbours noisier, and the work of calls more alike

Cause: with work of a coefficient of variation of one the work itself made the tail, whatever was chosen. Change: noisy for 20 of 60 ms at a quarter of the speed; variation of work 0.5. It is the harder case for us.

--- a/bench/tail/driver.cpp
+++ b/bench/tail/driver.cpp
@@ -26,9 +26,10 @@
 constexpr Duration RefusalTime = std::chrono::microseconds(200); // of a target that refuses
 constexpr Duration WithinRegion = std::chrono::microseconds(1500);
 constexpr Duration BetweenRegions = std::chrono::milliseconds(8);
-constexpr double QuietFor = 30;     // ms, mean, between noisy times of a neighbour
-constexpr double NoisyFor = 10;     // ms, mean
-constexpr double NoisySpeed = 0.35; // of a target beside a noisy neighbour
+constexpr double QuietFor = 40;     // ms, mean, between noisy times of a neighbour
+constexpr double NoisyFor = 20;     // ms, mean
+constexpr double NoisySpeed = 0.25; // of a target beside a noisy neighbour
+constexpr double WorkSpread = 0.5;  // coefficient of variation of the work of calls
 constexpr std::array<std::string_view, Services> ServiceNames{"listings", "reservations", "payments"};
 constexpr std::array<std::string_view, DataCentres> DataCentreNames{"a1", "a2", "b1", "b2", "c1", "c2"};
 constexpr std::array<std::string_view, DataCentres> RegionNames{"a", "a", "b", "b", "c", "c"};
@@ -112,10 +113,10 @@
     return std::exponential_distribution<double>(1 / mean)(random);
 }
 
-/// Log-normal with a coefficient of variation of one.
+/// Log-normal.
 double drawWork(std::mt19937_64 &random, double mean)
 {
-    const double variance = std::log(2.0);
+    const double variance = std::log(1 + WorkSpread * WorkSpread);
     return std::lognormal_distribution<double>(std::log(mean) - variance / 2, std::sqrt(variance))(random);
 }
 
