--- a/src/config/apply.cpp
+++ b/src/config/apply.cpp
@@ -32,7 +32,7 @@
                      + "; look at the difference and submit it again under a new number");
     std::vector<std::string> lines;
     diffThing<T>(lines, current, change.remove ? nullptr : &change.next);
-    for (const std::string &it : lines) {
+    for (const auto &it : lines) {
         addLine(out, "  " + it);
     }
 }
--- a/src/config/diff.cpp
+++ b/src/config/diff.cpp
@@ -42,7 +42,7 @@
 void diffTargets(std::vector<std::string> &out, std::string_view pool, std::span<const Target> before,
                  std::span<const Target> after)
 {
-    for (const std::string &it : namesOfBoth(before, after)) {
+    for (const auto &it : namesOfBoth(before, after)) {
         diffTarget(out, pool, findNamed(before, it), findNamed(after, it));
     }
 }
@@ -104,7 +104,7 @@
     forEachKind([&]<class T>() {
         const auto &was = before.*Kind<T>::Things;
         const auto &is = after.*Kind<T>::Things;
-        for (const std::string &it : namesOfBoth(was, is)) {
+        for (const auto &it : namesOfBoth(was, is)) {
             diffThing<T>(out, findNamed(was, it), findNamed(is, it));
         }
     });
--- a/src/config/effect.cpp
+++ b/src/config/effect.cpp
@@ -66,7 +66,7 @@
 void addRegions(Effect &effect, const Configuration &before, const Configuration &after, std::string_view service)
 {
     const std::set<std::string> left = regionsOf(after, service);
-    for (const std::string &it : regionsOf(before, service)) {
+    for (const auto &it : regionsOf(before, service)) {
         if (!left.contains(it)) {
             effect.emptyRegions.push_back("service " + std::string(service) + " has no target left in region " + it);
         }
@@ -109,7 +109,7 @@
     Effect effect;
     const Configuration staged = allowedByBoth(before, after);
     const std::set<std::string> left = workingTargets(after);
-    for (const std::string &it : workingTargets(before)) {
+    for (const auto &it : workingTargets(before)) {
         if (!left.contains(it)) {
             effect.losingTargets.push_back(it);
         }
@@ -136,7 +136,7 @@
 std::vector<std::string> describeEffect(const Effect &effect)
 {
     std::vector<std::string> out;
-    for (const std::string &it : effect.losingTargets) {
+    for (const auto &it : effect.losingTargets) {
         out.push_back("target " + it + " gets no new work");
     }
     for (const CapacityChange &it : effect.capacity) {
--- a/src/config/field.cpp
+++ b/src/config/field.cpp
@@ -177,7 +177,7 @@
 std::string writeDataCentres(const Rule &rule)
 {
     std::string out;
-    for (const std::string &it : rule.dataCentres) {
+    for (const auto &it : rule.dataCentres) {
         out += (out.empty() ? "" : " ") + it;
     }
     return out.empty() ? std::string(AnyWord) : out;
--- a/src/config/ticket.cpp
+++ b/src/config/ticket.cpp
@@ -14,6 +14,63 @@
 
 constexpr std::string_view BasedOnKey = "based-on";
 constexpr std::string_view RemoveKey = "remove";
+constexpr size_t MostLineBytes = 197; // what inih takes as one line
+
+/// The length of the UTF-8 character that text starts with; 0 when it is malformed or a control character.
+size_t characterLength(std::string_view text)
+{
+    const auto first = static_cast<unsigned char>(text.front());
+    if (first < 0x80) {
+        return first >= ' ' && first != 0x7f ? 1 : 0;
+    }
+    const size_t length = first >= 0xf0 ? 4 : first >= 0xe0 ? 3 : 2;
+    if (first < 0xc2 || first > 0xf4 || text.size() < length) {
+        return 0;
+    }
+    for (size_t n = 1; n < length; ++n) {
+        if ((static_cast<unsigned char>(text[n]) & 0xc0U) != 0x80U) {
+            return 0;
+        }
+    }
+    const auto second = static_cast<unsigned char>(text[1]);
+    const bool overlong = (first == 0xe0 && second < 0xa0) || (first == 0xf0 && second < 0x90);
+    const bool outside = (first == 0xed && second >= 0xa0) || (first == 0xf4 && second >= 0x90);
+    return overlong || outside ? 0 : length;
+}
+
+/// The line of the first byte that is not plain UTF-8 text; 0: there is none.
+int findBadText(std::string_view text)
+{
+    int line = 1;
+    while (!text.empty()) {
+        const bool blank = text.front() == '\n' || text.front() == '\r' || text.front() == '\t';
+        const size_t length = blank ? 1 : characterLength(text);
+        if (length == 0) {
+            return line;
+        }
+        line += text.front() == '\n' ? 1 : 0;
+        text.remove_prefix(length);
+    }
+    return 0;
+}
+
+/// Line 0: all lines are short enough for the INI library.
+int findLongLine(std::string_view text)
+{
+    for (int line = 1; !text.empty(); ++line) {
+        const size_t end = std::min(text.find('\n'), text.size());
+        if (end > MostLineBytes) {
+            return line;
+        }
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return 0;
+}
+
+Error errorAt(std::string_view source, int line, std::string_view what)
+{
+    return {Code::BadTicket, std::string(source) + ":" + std::to_string(line) + ": " + std::string(what)};
+}
 
 /// Gathers a ticket and all errors of its text.
 class Reader
@@ -278,6 +335,15 @@
         return fail(Code::BadTicket,
                     std::string(source) + ": longer than " + std::to_string(MostTicketBytes) + " bytes");
     }
+    const int badText = findBadText(text);
+    if (badText != 0) {
+        return tl::make_unexpected(errorAt(source, badText, "not plain UTF-8 text"));
+    }
+    const int longLine = findLongLine(text);
+    if (longLine != 0) {
+        return tl::make_unexpected(
+            errorAt(source, longLine, "longer than " + std::to_string(MostLineBytes) + " bytes; shorten it"));
+    }
     const auto sections = readIni(text, source);
     if (!sections) {
         return fail(Code::BadTicket, sections.error().detail);
--- a/src/config/validate.cpp
+++ b/src/config/validate.cpp
@@ -66,7 +66,7 @@
             if (!rule.service.empty()) {
                 refer("rule", rule.name, "service", rule.service, m_configuration.services);
             }
-            for (const std::string &it : rule.dataCentres) {
+            for (const auto &it : rule.dataCentres) {
                 refer("rule", rule.name, "data-centres", it, m_configuration.dataCentres);
             }
             const auto [owner, fresh] = owners.emplace(rule.host + " " + rule.prefix, rule.name);
@@ -131,36 +131,30 @@
                 "the name must be two regions joined by --, in alphabetical order, as in north--south");
             return;
         }
-        for (const std::string &it : {first, second}) {
+        for (const auto &it : {first, second}) {
             if (std::find(regions.begin(), regions.end(), it) == regions.end()) {
                 add("link", link.name, "no data centre stands in region " + it + nearest(it, regions));
             }
         }
     }
 
-    template<class T>
+    template<class Things>
     void refer(std::string_view kind, std::string_view name, std::string_view field, std::string_view to,
-               std::span<const T> things)
+               const Things &things)
     {
         if (findNamed(things, to) != nullptr) {
             return;
         }
         std::vector<std::string_view> names;
-        for (const T &it : things) {
+        for (const auto &it : things) {
             names.push_back(it.name);
         }
+        const std::string_view word = Kind<typename Things::value_type>::Word;
         add(kind, name,
-            std::string(field) + " = " + std::string(to) + ": there is no such " + std::string(Kind<T>::Word)
+            std::string(field) + " = " + std::string(to) + ": there is no such " + std::string(word)
                 + nearest(to, names));
     }
 
-    template<class T>
-    void refer(std::string_view kind, std::string_view name, std::string_view field, std::string_view to,
-               std::vector<T> const &things)
-    {
-        refer(kind, name, field, to, std::span<const T>(things));
-    }
-
     static std::string nearest(std::string_view word, std::span<const std::string_view> names)
     {
         const std::string_view name = nearestName(word, names);
--- a/src/control/ticket_decision.cpp
+++ b/src/control/ticket_decision.cpp
@@ -88,7 +88,7 @@
 std::string capacityDetail(const Effect &effect)
 {
     std::string out;
-    for (const std::string &it : effect.losesAll) {
+    for (const auto &it : effect.losesAll) {
         out += it + "; ";
     }
     return out + "if that is meant, write allow-capacity-loss = yes under [ticket]";
--- a/src/control/ticket_desk.cpp
+++ b/src/control/ticket_desk.cpp
@@ -26,7 +26,7 @@
 std::string join(std::span<const std::string> words)
 {
     std::string out;
-    for (const std::string &it : words) {
+    for (const auto &it : words) {
         out += (out.empty() ? "" : ", ") + it;
     }
     return out;
