--- a/scripts/lib/system.py
+++ b/scripts/lib/system.py
@@ -83,9 +83,10 @@
             self.list_instance(instance)
 
     def list_instance(self, instance):
-        query = urllib.parse.urlencode({"name": instance.name, "data-centre": instance.data_centre,
-                                        "keeper": f"tcp://127.0.0.1:{instance.keeper_peer}"})
-        http("POST", self.store_port, f"/instances?{query}")
+        self.store_fault({"add": {"name": instance.name, "dataCentre": instance.data_centre,
+                                  "region": dict(self.centres)[instance.data_centre],
+                                  "keeper": f"tcp://127.0.0.1:{instance.keeper_peer}",
+                                  "entry": f"127.0.0.1:{instance.entry_port}"}})
 
     def start_targets(self, group):
         self.bench.start(f"targets-{group.name}", "damask-target", {
@@ -106,15 +107,18 @@
     def keeper_settings(self, instance, region):
         return {"instance": {"name": instance.name, "data-centre": instance.data_centre, "region": region},
                 "store": {"address": "127.0.0.1", "port": self.store_port},
-                "link": {"listen": f"tcp://127.0.0.1:{instance.keeper_link}"},
-                "peers": {"listen": f"tcp://127.0.0.1:{instance.keeper_peer}"},
+                "entry": {"listen": f"tcp://127.0.0.1:{instance.keeper_link}"},
+                "peers": {"listen": f"tcp://127.0.0.1:{instance.keeper_peer}",
+                          "seeds": " ".join(f"tcp://127.0.0.1:{it.keeper_peer}" for it in self.instances
+                                            if it is not instance)},
                 "operate": {"port": instance.keeper_operate, "token": TOKEN}}
 
     def entry_settings(self, instance):
         return {"instance": {"name": instance.name, "data-centre": instance.data_centre},
                 "front": {"port": instance.entry_port},
                 "keeper": {"endpoint": f"tcp://127.0.0.1:{instance.keeper_link}"},
-                "operate": {"port": instance.entry_operate, "token": TOKEN}}
+                "operate": {"port": instance.entry_operate, "token": TOKEN},
+                "stop": {"notice": "1 s"}}
 
     # Tickets
 
@@ -193,7 +197,7 @@
                     raise RuntimeError(f"fault on {name}: {text}")
 
     def store_fault(self, values):
-        status, text = http("POST", self.store_port, "/fault?" + urllib.parse.urlencode(values), "")
+        status, text = http("POST", self.store_port, "/fault", json.dumps(values))
         if status != 200:
             raise RuntimeError(f"fault on the store: {text}")
 
@@ -210,13 +214,13 @@
         if kind == "crash":
             return lambda: [http("POST", it.control_port, f"/crash?target={on}", "") for it in self.groups], None
         if kind == "store-down":
-            return lambda: self.store_fault({"down": "yes"}), lambda: self.store_fault({"down": "no"})
+            return lambda: self.store_fault({"down": True}), lambda: self.store_fault({"down": False})
         if kind == "store-slow":
-            return (lambda: self.store_fault({"slow-ms": spec.get("value", "500")}),
-                    lambda: self.store_fault({"slow-ms": "0"}))
+            return (lambda: self.store_fault({"slow-ms": float(spec.get("value", "500"))}),
+                    lambda: self.store_fault({"slow-ms": 0}))
         if kind == "store-lossy":
-            return (lambda: self.store_fault({"lose-confirmations": spec.get("value", "1")}),
-                    lambda: self.store_fault({"lose-confirmations": "0"}))
+            return (lambda: self.store_fault({"lose-confirmations": True}),
+                    lambda: self.store_fault({"lose-confirmations": False}))
         if kind == "pause":
             return (lambda: self.bench.processes[on].signal(signal.SIGSTOP),
                     lambda: self.bench.processes[on].signal(signal.SIGCONT))
