Put the entry together: callers, decisions, targets, control, operators

Cause: the parts are there; a call must go the whole way. Change: damask-entry with its table of settings, readiness that follows the configuration and the stop, /status and /why; a graceful stop in the order notice, port, calls, control, operators. The front's connection is named CallerConnection, since back has a Connection of its own.

--- a/src/front/connection.h
+++ b/src/front/caller_connection.h
@@ -20,8 +20,8 @@
     Lingering, // our side is closed; waits for the caller to close, so that the last answer is not torn away
 };
 
-struct Connection {
-    Connection(uint64_t n, FileDescriptor fd, std::string ip, const RequestLimits &limits)
+struct CallerConnection {
+    CallerConnection(uint64_t n, FileDescriptor fd, std::string ip, const RequestLimits &limits)
         : id(n)
         , socket(std::move(fd))
         , peer(std::move(ip))
@@ -49,6 +49,6 @@
     bool          close = false;       // after out was sent
 };
 
-using ConnectionPtr = std::shared_ptr<Connection>;
+using CallerPtr = std::shared_ptr<CallerConnection>;
 
 } // namespace damask
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 /// Hands the request that the reader has ready to a worker. False when it was answered here, with a refusal.
-bool FrontServer::State::startCall(const ConnectionPtr &it)
+bool FrontServer::State::startCall(const CallerPtr &it)
 {
     WholeRequest whole = it->reader.take();
     account(*it);
@@ -64,7 +64,7 @@
     return true;
 }
 
-void FrontServer::State::serve(const ConnectionPtr &it, CallRequest &call, CancelToken &cancel)
+void FrontServer::State::serve(const CallerPtr &it, CallRequest &call, CancelToken &cancel)
 {
     ++taskCount;
     const auto hook = [&](std::string_view method, std::string_view path) {
@@ -96,7 +96,7 @@
 }
 
 /// Answers a well-formed request with a refusal on its open connection.
-void FrontServer::State::answerHere(Connection &it, std::string_view requestId, const Error &error)
+void FrontServer::State::answerHere(CallerConnection &it, std::string_view requestId, const Error &error)
 {
     countRefusal(error.code);
     Answer answer = refusal(error);
@@ -112,7 +112,7 @@
 }
 
 /// Answers what could not be read as a request; the connection closes, for nobody knows where the next one begins.
-void FrontServer::State::refuseAndClose(Connection &it, const Error &error)
+void FrontServer::State::refuseAndClose(CallerConnection &it, const Error &error)
 {
     countRefusal(error.code);
     logEvent(Severity::Info, "request-refused",
--- a/src/front/drive.cpp
+++ b/src/front/drive.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-void FrontServer::State::drive(const ConnectionPtr &it)
+void FrontServer::State::drive(const CallerPtr &it)
 {
     while (flush(it)) {
         if (it->close) {
@@ -39,7 +39,7 @@
     }
 }
 
-bool FrontServer::State::flush(const ConnectionPtr &it)
+bool FrontServer::State::flush(const CallerPtr &it)
 {
     bool moved = false;
     while (it->sent < it->out.size()) {
@@ -65,14 +65,14 @@
     return true;
 }
 
-void FrontServer::State::linger(const ConnectionPtr &it)
+void FrontServer::State::linger(const CallerPtr &it)
 {
     ::shutdown(it->socket.get(), SHUT_WR);
     setDeadline(*it, clock.now() + LingerTimeout);
     park(it, Phase::Lingering, EPOLLIN | EPOLLRDHUP);
 }
 
-void FrontServer::State::parkForReading(const ConnectionPtr &it)
+void FrontServer::State::parkForReading(const CallerPtr &it)
 {
     if (it->reader.idle()) {
         it->firstByteAt = Never;
@@ -86,7 +86,7 @@
 }
 
 /// Gives the connection up until one of the events. False when it is idle while the front stops.
-bool FrontServer::State::park(const ConnectionPtr &it, Phase phase, uint32_t wanted)
+bool FrontServer::State::park(const CallerPtr &it, Phase phase, uint32_t wanted)
 {
     LockGuard lock(mutex);
     const bool idle = phase == Phase::Reading && it->reader.idle();
@@ -99,7 +99,7 @@
     return true;
 }
 
-void FrontServer::State::close(const ConnectionPtr &it)
+void FrontServer::State::close(const CallerPtr &it)
 {
     setDeadline(*it, Never);
     heldBytes -= it->heldBytes;
@@ -112,13 +112,13 @@
 }
 
 /// Each byte that has come buys some time, so that a large body on a slow line is taken and a trickle is not.
-TimePoint FrontServer::State::readDeadline(const Connection &it) const
+TimePoint FrontServer::State::readDeadline(const CallerConnection &it) const
 {
     const double bought = static_cast<double>(it.heldBytes) / static_cast<double>(options.leastBytesPerSecond);
     return it.firstByteAt + options.sendTimeout + fromMilliseconds(bought * 1000);
 }
 
-void FrontServer::State::setDeadline(Connection &it, TimePoint deadline)
+void FrontServer::State::setDeadline(CallerConnection &it, TimePoint deadline)
 {
     if (it.deadline != deadline) {
         it.deadline = deadline;
@@ -127,7 +127,7 @@
 }
 
 /// Counts what the connection holds of an incomplete request.
-void FrontServer::State::account(Connection &it)
+void FrontServer::State::account(CallerConnection &it)
 {
     const size_t now = it.reader.heldBytes();
     heldBytes += now - it.heldBytes; // wraps round when it shrank, and so subtracts
--- a/src/front/poller.cpp
+++ b/src/front/poller.cpp
@@ -41,7 +41,7 @@
         return;
     }
     Phase phase = Phase::Reading;
-    const ConnectionPtr it = find(event.data.u64, phase);
+    const CallerPtr it = find(event.data.u64, phase);
     if (!it) {
         return;
     }
@@ -91,7 +91,7 @@
         acceptAll();
         return;
     }
-    ConnectionPtr it;
+    CallerPtr it;
     Phase phase = Phase::Serving;
     {
         LockGuard lock(mutex);
@@ -118,7 +118,7 @@
     }
 }
 
-void FrontServer::State::onReadable(const ConnectionPtr &it)
+void FrontServer::State::onReadable(const CallerPtr &it)
 {
     const Transfer got = receiveInto(it->socket.get(), readBuffer);
     if (got.end == TransferEnd::Closed) {
@@ -134,7 +134,7 @@
     drive(it);
 }
 
-void FrontServer::State::onLingering(const ConnectionPtr &it)
+void FrontServer::State::onLingering(const CallerPtr &it)
 {
     const Transfer got = receiveInto(it->socket.get(), readBuffer);
     if (got.end == TransferEnd::Closed) {
@@ -170,7 +170,7 @@
 {
     const uint64_t id = nextId++;
     const auto it =
-        std::make_shared<Connection>(id, std::move(accepted.socket), std::move(accepted.peer), options.limits);
+        std::make_shared<CallerConnection>(id, std::move(accepted.socket), std::move(accepted.peer), options.limits);
     size_t open = 0;
     {
         LockGuard lock(mutex);
@@ -193,7 +193,7 @@
 
 void FrontServer::State::closeIdle()
 {
-    std::vector<ConnectionPtr> idle;
+    std::vector<CallerPtr> idle;
     {
         LockGuard lock(mutex);
         for (const auto &[id, it] : connections) {
@@ -202,7 +202,7 @@
             }
         }
     }
-    for (const ConnectionPtr &it : idle) {
+    for (const CallerPtr &it : idle) {
         if (it->requests == 0) {
             setDeadline(*it, clock.now() + FreshGrace); // its first request may be on the way
         } else if (!hasInput(it->socket.get())) {
@@ -211,9 +211,9 @@
     }
 }
 
-ConnectionPtr FrontServer::State::find(uint64_t id, Phase &phase)
+CallerPtr FrontServer::State::find(uint64_t id, Phase &phase)
 {
-    ConnectionPtr it;
+    CallerPtr it;
     std::shared_ptr<CancelToken> cancel;
     {
         LockGuard lock(mutex);
--- a/src/front/state.h
+++ b/src/front/state.h
@@ -4,7 +4,7 @@
 #include "base/random.h"
 #include "base/thread.h"
 #include "base/worker_pool.h"
-#include "front/connection.h"
+#include "front/caller_connection.h"
 #include "front/deadline_timer.h"
 #include "front/event_poll.h"
 #include "front/exchange.h"
@@ -25,32 +25,32 @@
     void onEvent(const epoll_event &event);
     void onWake();
     void onExpired(uint64_t id);
-    void onReadable(const ConnectionPtr &it);
-    void onLingering(const ConnectionPtr &it);
+    void onReadable(const CallerPtr &it);
+    void onLingering(const CallerPtr &it);
     void acceptAll();
     void takeConnection(AcceptResult accepted);
     void closeIdle();
 
     // drive.cpp: on the thread whose the connection is
-    void      drive(const ConnectionPtr &it);
-    bool      flush(const ConnectionPtr &it);
-    void      linger(const ConnectionPtr &it);
-    void      parkForReading(const ConnectionPtr &it);
-    bool      park(const ConnectionPtr &it, Phase phase, uint32_t events);
-    void      close(const ConnectionPtr &it);
-    TimePoint readDeadline(const Connection &it) const;
-    void      setDeadline(Connection &it, TimePoint deadline);
-    void      account(Connection &it);
+    void      drive(const CallerPtr &it);
+    bool      flush(const CallerPtr &it);
+    void      linger(const CallerPtr &it);
+    void      parkForReading(const CallerPtr &it);
+    bool      park(const CallerPtr &it, Phase phase, uint32_t events);
+    void      close(const CallerPtr &it);
+    TimePoint readDeadline(const CallerConnection &it) const;
+    void      setDeadline(CallerConnection &it, TimePoint deadline);
+    void      account(CallerConnection &it);
 
     // calls.cpp: requests and answers
-    bool   startCall(const ConnectionPtr &it);
-    void   serve(const ConnectionPtr &it, CallRequest &call, CancelToken &cancel);
+    bool   startCall(const CallerPtr &it);
+    void   serve(const CallerPtr &it, CallRequest &call, CancelToken &cancel);
     Answer answerCall(const CallRequest &call, CancelToken &cancel);
-    void   answerHere(Connection &it, std::string_view requestId, const Error &error);
-    void   refuseAndClose(Connection &it, const Error &error);
+    void   answerHere(CallerConnection &it, std::string_view requestId, const Error &error);
+    void   refuseAndClose(CallerConnection &it, const Error &error);
     void   countRefusal(Code code);
 
-    ConnectionPtr find(uint64_t id, Phase &phase);
+    CallerPtr find(uint64_t id, Phase &phase);
 
     Clock       &clock;
     Metrics     &metrics;
@@ -76,11 +76,11 @@
     std::atomic<bool>     leaving{false};
     std::atomic<bool>     done{false};
 
-    mutable RankedMutex                         mutex{LockRank::Server};
-    Condition                                   changed; // a connection closed, or the listener
-    std::unordered_map<uint64_t, ConnectionPtr> connections;
-    bool                                        stopping = false;
-    bool                                        listening = false;
+    mutable RankedMutex                     mutex{LockRank::Server};
+    Condition                               changed; // a connection closed, or the listener
+    std::unordered_map<uint64_t, CallerPtr> connections;
+    bool                                    stopping = false;
+    bool                                    listening = false;
 
     DeadlineTimer timer;
     WorkerPool    workers;
--- /dev/null
+++ b/src/programs/damask-entry/entry.cpp
@@ -0,0 +1,256 @@
+#include "programs/damask-entry/entry.h"
+
+#include "base/log.h"
+#include "base/worker_pool.h"
+#include "operate/routes.h"
+#include "programs/damask-entry/status_json.h"
+
+#include <atomic>
+
+namespace damask {
+
+namespace {
+
+constexpr Duration TidyInterval = std::chrono::seconds(5); // between two closings of idle connections to targets
+constexpr size_t WhyCalls = 20;                            // calls of a service that /why gives
+
+} // namespace
+
+struct Entry::State {
+    State(Clock &c, Metrics &m, const EntryOptions &o);
+
+    void apply(std::shared_ptr<const Configuration> next);
+    Result<void> ready();
+    std::string status();
+    OperateResponse why(const OperateRequest &request) const;
+    std::shared_ptr<const Configuration> inForce();
+    void tidy();
+    void waitNotice();
+    void logStart();
+
+    Clock &clock;
+    Metrics &metrics;
+    EntryOptions options;
+    std::atomic<bool> leaving{false};
+
+    RankedMutex mutex{LockRank::Configuration};
+    std::shared_ptr<const Configuration> configuration; // under mutex
+
+    RankedMutex stopMutex{LockRank::Program};
+    Condition stopChanged; // wakes the tidying thread
+    bool stopped = false;  // under stopMutex
+
+    Sender sender;
+    WorkerPool hedges;
+    Balancer balancer;
+    Dispatcher dispatcher;
+    FrontServer front;
+    KeeperLink keeper;
+    OperateServer operate;
+    Thread tidier;
+};
+
+namespace {
+
+OperateOptions counted(OperateOptions options, Metrics &metrics)
+{
+    options.refused = [&metrics](Code code) {
+        metrics.countCode("damask_operate_refusals_total", code);
+    };
+    return options;
+}
+
+} // namespace
+
+Entry::State::State(Clock &c, Metrics &m, const EntryOptions &o)
+    : clock(c)
+    , metrics(m)
+    , options(o)
+    , stopChanged(c)
+    , sender(c, m, o.sender)
+    , hedges(c, {.name = "hedge", .threads = o.hedgeWorkers, .queueLimit = o.hedgeWorkers})
+    , balancer(c, m, o.balancer)
+    , dispatcher(c, m, balancer, o.dispatcher,
+                 {.send = [this](const Attempt &attempt) { return sender.send(attempt); },
+                  .runBeside =
+                      [this](std::function<void()> work) {
+                          return hedges.submit(std::move(work)).has_value();
+                      }})
+    , front(c, m, o.front,
+            [this](const CallRequest &call, CancelToken &cancel) { return dispatcher.dispatch(call, cancel); })
+    , keeper(c, m, o.keeper,
+             {.apply = [this](std::shared_ptr<const Configuration> next) { apply(std::move(next)); },
+              .absorb = [this](std::span<const LoadNews> news) { balancer.absorb(news); },
+              .ownNews =
+                  [this] {
+                      return balancer.ownNews();
+                  }})
+    , operate(counted(o.operate, m))
+{
+}
+
+void Entry::State::apply(std::shared_ptr<const Configuration> next)
+{
+    balancer.apply(next);
+    dispatcher.apply(next);
+    logEvent(Severity::Info, "configuration-applied", {{"revision", next->revision}});
+    LockGuard lock(mutex);
+    configuration = std::move(next);
+}
+
+std::shared_ptr<const Configuration> Entry::State::inForce()
+{
+    LockGuard lock(mutex);
+    return configuration;
+}
+
+Result<void> Entry::State::ready()
+{
+    if (leaving) {
+        return fail(Code::EntryLeaving, "the entry is stopping");
+    }
+    if (!inForce()) {
+        return fail(Code::NoConfiguration, "the keeper has given no configuration yet");
+    }
+    return {};
+}
+
+std::string Entry::State::status()
+{
+    EntryStatus out;
+    out.instance = options.instance;
+    out.dataCentre = options.balancer.dataCentre;
+    out.leaving = leaving;
+    out.keeperSilence = keeper.silence();
+    out.attempts = balancer.inFlight();
+    out.front = front.status();
+    if (const auto now = inForce()) {
+        out.revision = now->revision;
+        for (const Service &it : now->services) {
+            out.services.push_back({it.name, balancer.status(it.name)});
+        }
+    }
+    return toJson(out);
+}
+
+OperateResponse Entry::State::why(const OperateRequest &request) const
+{
+    const auto id = request.query.find("request");
+    const auto service = request.query.find("service");
+    if ((id == request.query.end()) == (service == request.query.end())) {
+        return operateError(400, {Code::BadRequest, "say request=ID or service=NAME"});
+    }
+    if (service != request.query.end()) {
+        return {200, "application/json", dispatcher.whyService(service->second, WhyCalls) + "\n"};
+    }
+    const std::string told = dispatcher.why(id->second);
+    if (told.empty()) {
+        return operateError(404, {Code::NotFound, "this entry did not serve the request, or has forgotten it"});
+    }
+    return {200, "application/json", told + "\n"};
+}
+
+/// Closes idle connections to targets now and then, until the entry stops.
+void Entry::State::tidy()
+{
+    LockGuard lock(stopMutex);
+    while (!stopped) {
+        const TimePoint next = clock.now() + TidyInterval;
+        while (!stopped && stopChanged.waitUntil(lock, next)) { }
+        sender.closeIdle();
+    }
+}
+
+/// Lets whoever sends callers here see that the entry is not ready, before its port closes.
+void Entry::State::waitNotice()
+{
+    RankedMutex alone{LockRank::Program};
+    Condition nobody(clock);
+    LockGuard lock(alone);
+    const TimePoint until = clock.now() + options.leaveNotice;
+    while (nobody.waitUntil(lock, until)) { }
+}
+
+void Entry::State::logStart()
+{
+    logEvent(Severity::Info, "entry-started",
+             {{"instance", options.instance},
+              {"dataCentre", options.balancer.dataCentre},
+              {"callerPort", static_cast<int>(front.port())},
+              {"operatorPort", static_cast<int>(operate.port())}});
+}
+
+Entry::Entry(Clock &clock, Metrics &metrics, const EntryOptions &options)
+    : m_state(std::make_unique<State>(clock, metrics, options))
+{
+}
+
+Entry::~Entry()
+{
+    stop();
+}
+
+Result<void> Entry::start()
+{
+    State &state = *m_state;
+    addStandardRoutes(state.operate, state.metrics,
+                      {.ready = [&state] { return state.ready(); },
+                       .status =
+                           [&state] {
+                               return state.status();
+                           }});
+    state.operate.route("GET", "/why", [&state](const OperateRequest &request) { return state.why(request); });
+    auto started = state.operate.start();
+    if (started) {
+        started = state.front.start();
+    }
+    if (!started) {
+        return started;
+    }
+    if (!state.options.keeper.keeper.empty()) {
+        state.keeper.start();
+    }
+    state.tidier = Thread("entry-tidy", [&state] { state.tidy(); });
+    state.logStart();
+    return {};
+}
+
+void Entry::stop()
+{
+    State &state = *m_state;
+    if (!state.tidier.running()) {
+        return;
+    }
+    logEvent(Severity::Info, "entry-leaving",
+             {{"callsInFlight", static_cast<uint64_t>(state.front.status().callsInFlight)}});
+    state.leaving = true;
+    state.front.leave();
+    state.waitNotice();
+    state.front.stop();
+    state.keeper.stop();
+    {
+        LockGuard lock(state.stopMutex);
+        state.stopped = true;
+        state.stopChanged.notifyAll();
+    }
+    state.tidier.join();
+    state.operate.stop();
+    logEvent(Severity::Info, "entry-stopped");
+}
+
+void Entry::apply(std::shared_ptr<const Configuration> configuration)
+{
+    m_state->apply(std::move(configuration));
+}
+
+uint16_t Entry::callerPort() const
+{
+    return m_state->front.port();
+}
+
+uint16_t Entry::operatorPort() const
+{
+    return m_state->operate.port();
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/programs/damask-entry/main.cpp
@@ -0,0 +1,57 @@
+/// damask-entry: serves callers, chooses targets, sends calls on and answers back.
+#include "programs/damask-entry/entry.h"
+#include "startup/program.h"
+
+#include <iostream>
+
+using namespace damask;
+
+namespace {
+
+constexpr std::string_view Usage = R"(damask-entry - serves callers on an entry instance.
+
+Usage:
+  damask-entry [--settings=FILE] [--set=PAIR]... [--check | --print-settings]
+  damask-entry --help | --version
+
+Options:
+  --settings=FILE   INI file with the settings.
+  --set=PAIR        One setting as section.key=value; goes before the file.
+  --check           Check the settings and exit.
+  --print-settings  Print every setting with unit, default and effective value, and exit.
+  -h --help         Show this text.
+  --version         Show the version.
+
+Exit codes: 0 stopped gracefully, 1 a port can't be had, 2 wrong command line, 3 wrong settings.
+)";
+
+int complain(const Error &error, int exitCode)
+{
+    std::cerr << "damask-entry: " << codeName(error.code) << " (" << codeNumber(error.code) << ")\n"
+              << error.detail << "\n";
+    return exitCode;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto program = startProgram(argc, argv, {.name = "damask-entry", .usage = Usage, .specs = entrySpecs()});
+    if (!program.settings) {
+        return program.exitCode;
+    }
+    const auto options = readEntryOptions(*program.settings);
+    if (!options) {
+        return complain(options.error(), ExitSettings);
+    }
+    Clock clock;
+    Metrics metrics;
+    Entry entry(clock, metrics, *options);
+    const auto started = entry.start();
+    if (!started) {
+        return complain(started.error(), ExitFailed);
+    }
+    waitForStop();
+    entry.stop();
+    return ExitOk;
+}
