--- a/src/route/pick.cpp
+++ b/src/route/pick.cpp
@@ -100,16 +100,6 @@
     return leastBy(views, context, cost);
 }
 
-int pickOracle(Views views, const PickContext &context)
-{
-    const auto cost = [](const TargetView &n) {
-        const double queued = std::max(0, n.trueInFlight + 1 - n.slots);
-        const double turns = 1 + queued / n.slots;
-        return turns * n.fleetTime / static_cast<double>(n.trueSpeed) + static_cast<double>(n.linkDelay);
-    };
-    return leastBy(views, context, cost);
-}
-
 } // namespace
 
 PickPolicy randomPolicy()
@@ -142,11 +132,6 @@
     return pickJoinIdleQueue;
 }
 
-PickPolicy oraclePolicy()
-{
-    return pickOracle;
-}
-
 PickPolicy policyByName(std::string_view name)
 {
     if (name == "damask") {
--- a/src/route/service_learn.cpp
+++ b/src/route/service_learn.cpp
@@ -10,10 +10,18 @@
 namespace {
 
 constexpr size_t LeastShareIn = 3;                          // at most one target in so many is ejected
+constexpr float OverFullTimes = 1.5F;                       // the limit of calls in flight
 constexpr double FleetWeight = 0.02;                        // of one report or answer in the fleet's average
 constexpr Duration LeavingHolds = std::chrono::seconds(60); // news of leaving, unless repeated
 constexpr int FirstServerError = 500;                       // HTTP status
 
+/// Whether a target says that it has far more than it should: calls in flight must become fewer.
+bool overFull(const TargetEntry &entry, const PermitReport &report)
+{
+    const float most = OverFullTimes * entry.load.limit(entry.target.slots);
+    return report.load && static_cast<float>(report.load->inFlight) > most;
+}
+
 } // namespace
 
 void ServiceTable::finish(const Permit &permit, const PermitReport &report, TimePoint now)
@@ -40,6 +48,7 @@
     switch (report.end) {
     case AttemptEnd::Answered:
         m_heardAt = now;
+        m_credit = overFull(entry, report) ? 0 : 1;
         if (report.status >= FirstServerError) {
             learnFailure(entry, now);
         } else {
--- a/src/route/service_table.cpp
+++ b/src/route/service_table.cpp
@@ -14,6 +14,8 @@
 constexpr size_t NearShare = 16;                                   // candidates from this data centre, when many
 constexpr size_t RegionShare = 8;                                  // candidates from the rest of this region
 constexpr double HurryAfterTimes = 4;                              // usual answer times without any answer
+constexpr float HoldTimes = 1;                                     // usual answer times held for a better estimate
+constexpr float LeastTime = 1;                                     // ms, taken for an answer while none is known
 constexpr Duration LeastHurry = std::chrono::milliseconds(5);      // without any answer before a call hurries
 
 uint64_t nextPermit()
@@ -212,7 +214,7 @@
     context.random = &m_hooks.random;
     context.sequence = m_sequence;
     context.waited = static_cast<float>(toMilliseconds(waited));
-    context.hurry = hurry(now);
+    context.hurry = hurry(now) || context.waited > HoldTimes * std::max(LeastTime, m_fleetTime);
     const int picked = m_hooks.pick(m_views, context);
     if (picked == NoPick) {
         return {};
@@ -236,7 +238,7 @@
 
 bool ServiceTable::hurry(TimePoint now) const
 {
-    if (m_inFlight == 0) {
+    if (m_inFlight == 0 || m_credit > 0) {
         return true;
     }
     const Duration silence = std::max(LeastHurry, fromMilliseconds(HurryAfterTimes * m_fleetTime));
@@ -335,6 +337,7 @@
     }
     if (hurry(now)) {
         m_heardAt = now;
+        m_credit = 0;
     }
     Permit permit;
     permit.id = nextPermit();
@@ -383,6 +386,7 @@
 {
     m_queue.refuseDue(now, decided);
     while (!m_queue.empty() && grantOne(now, decided)) { }
+    m_credit = 0;
     return m_queue.empty() ? Never : std::min(m_queue.firstEnd(), now + m_options.waitStep);
 }
 
--- a/src/route/service_table.h
+++ b/src/route/service_table.h
@@ -111,6 +111,7 @@
     int                                       m_inFlight = 0;
     size_t                                    m_ejected = 0; // targets out, with those on trial
     TimePoint                                 m_heardAt{};   // of the last answer, or grant without one
+    int                                       m_credit = 0;  // one call may replace one that just ended
     bool                                      m_retired = false;
 };
 
