--- /dev/null
+++ b/src/member/duty.cpp
@@ -0,0 +1,98 @@
+#include "member/duty.h"
+
+#include <algorithm>
+#include <set>
+
+namespace damask {
+
+namespace {
+
+bool onDuty(const MemberView &member)
+{
+    return member.state == MemberState::Live && !member.silent;
+}
+
+std::set<std::string, std::less<>> dataCentresOf(std::span<const MemberView> members)
+{
+    std::set<std::string, std::less<>> out;
+    for (const MemberView &it : members) {
+        if (it.state != MemberState::Gone) {
+            out.insert(it.instance.dataCentre);
+        }
+    }
+    return out;
+}
+
+/// The lowest-ranked members of a data centre, silent or not.
+std::vector<std::string> lowestOf(std::span<const MemberView> members, std::string_view dataCentre, size_t count)
+{
+    std::vector<std::string> out;
+    for (const MemberView &it : members) {
+        if (it.state != MemberState::Gone && it.instance.dataCentre == dataCentre && out.size() < count) {
+            out.push_back(it.instance.name);
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+std::vector<std::string> watchersOf(std::span<const MemberView> members, std::string_view dataCentre,
+                                    const DutyOptions &options)
+{
+    std::vector<std::string> out;
+    for (const MemberView &it : members) {
+        if (onDuty(it) && it.instance.dataCentre == dataCentre && out.size() < options.perDataCentre) {
+            out.push_back(it.instance.name);
+        }
+    }
+    return out;
+}
+
+std::vector<std::string> allWatchers(std::span<const MemberView> members, const DutyOptions &options)
+{
+    std::vector<std::string> out;
+    for (const std::string &it : dataCentresOf(members)) {
+        const auto watchers = watchersOf(members, it, options);
+        out.insert(out.end(), watchers.begin(), watchers.end());
+    }
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+std::vector<Instance> heartbeatPeers(std::span<const MemberView> members, std::string_view self,
+                                     const DutyOptions &options)
+{
+    const auto own = std::find_if(members.begin(), members.end(),
+                                  [self](const MemberView &it) { return it.instance.name == self; });
+    if (own == members.end()) {
+        return {};
+    }
+    const std::string_view home = own->instance.dataCentre;
+    const auto homeWatchers = watchersOf(members, home, options);
+    std::set<std::string, std::less<>> wanted;
+    if (std::find(homeWatchers.begin(), homeWatchers.end(), self) != homeWatchers.end()) {
+        for (const std::string &it : dataCentresOf(members)) {
+            const auto lowest = lowestOf(members, it, options.perDataCentre);
+            const auto watchers = watchersOf(members, it, options);
+            wanted.insert(lowest.begin(), lowest.end());
+            wanted.insert(watchers.begin(), watchers.end());
+        }
+    }
+    std::vector<Instance> out;
+    for (const MemberView &it : members) {
+        const bool near = it.instance.dataCentre == home && it.state != MemberState::Gone;
+        if (it.instance.name != self && (near || wanted.contains(it.instance.name))) {
+            out.push_back(it.instance);
+        }
+    }
+    return out;
+}
+
+Duration pollInterval(size_t fleet, Duration least, double pollsPerSecond)
+{
+    const auto flat = std::chrono::duration<double>(static_cast<double>(fleet) / pollsPerSecond);
+    return std::max(least, std::chrono::duration_cast<Duration>(flat));
+}
+
+} // namespace damask
--- a/src/wire/message.cpp
+++ b/src/wire/message.cpp
@@ -13,6 +13,11 @@
 constexpr uint32_t EnvelopeFormat = 1;
 constexpr uint64_t MaxAgeMicroseconds = 24ULL * 3600 * 1000 * 1000;
 
+uint64_t microseconds(Duration duration)
+{
+    return static_cast<uint64_t>(std::max<int64_t>(duration.count() / 1000, 0));
+}
+
 void write(const EntryHello &from, pb::Envelope &to)
 {
     to.mutable_entry_hello()->set_revision(from.revision);
@@ -40,7 +45,7 @@
         news.set_in_flight(static_cast<uint32_t>(std::max(it.report.inFlight, 0)));
         news.set_slots(static_cast<uint32_t>(std::max(it.report.slots, 0)));
         news.set_draining(it.report.draining);
-        news.set_age_us(static_cast<uint64_t>(std::max<int64_t>(it.age.count() / 1000, 0)));
+        news.set_age_us(microseconds(it.age));
         news.set_leaving(it.leaving);
     }
 }
@@ -54,26 +59,27 @@
     copy.set_store_reachable(from.storeReachable);
 }
 
-void write(const Confirmation &from, pb::Envelope &to)
-{
-    to.mutable_confirmation()->set_ticket(from.ticket);
-    to.mutable_confirmation()->set_version(from.version);
-}
-
 void write(const DocumentRequest &from, pb::Envelope &to)
 {
     to.mutable_request()->set_version(from.version);
-    to.mutable_request()->set_instance_address(from.instanceAddress);
 }
 
 void write(const Heartbeat &from, pb::Envelope &to)
 {
     pb::Heartbeat &beat = *to.mutable_heartbeat();
-    beat.set_version(from.version);
-    beat.set_revision(from.revision);
     beat.set_store_reachable(from.storeReachable);
-    beat.set_leaving(from.leaving);
-    beat.set_address(from.address);
+    for (const MemberReport &it : from.members) {
+        pb::MemberReport &report = *beat.add_members();
+        report.set_name(it.instance.name);
+        report.set_data_centre(it.instance.dataCentre);
+        report.set_region(it.instance.region);
+        report.set_keeper(it.instance.keeper);
+        report.set_incarnation(it.instance.incarnation);
+        report.set_leaving(it.instance.state == InstanceState::Leaving);
+        report.set_confirmed(it.confirmed);
+        report.set_version(it.version);
+        report.set_age_us(microseconds(it.age));
+    }
 }
 
 Result<MessageBody> readOffer(const pb::ConfigurationOffer &from)
@@ -117,20 +123,44 @@
     return DocumentCopy{from.version(), from.document(), from.hash(), from.store_reachable()};
 }
 
-Result<MessageBody> readRequest(const pb::DocumentRequest &from)
+Result<MemberReport> readReport(const pb::MemberReport &from)
 {
-    if (const auto checked = checkText(from.instance_address(), MaxNameBytes, "request.address"); !checked) {
-        return tl::make_unexpected(checked.error());
+    for (const std::string *it : {&from.name(), &from.data_centre(), &from.region(), &from.keeper()}) {
+        if (const auto checked = checkText(*it, MaxNameBytes, "heartbeat.member"); !checked) {
+            return tl::make_unexpected(checked.error());
+        }
     }
-    return DocumentRequest{from.version(), from.instance_address()};
+    if (from.name().empty() || from.age_us() > MaxAgeMicroseconds) {
+        return fail(Code::BadMessage, "heartbeat.member: a field is out of range");
+    }
+    MemberReport out;
+    out.instance.name = from.name();
+    out.instance.dataCentre = from.data_centre();
+    out.instance.region = from.region();
+    out.instance.keeper = from.keeper();
+    out.instance.incarnation = from.incarnation();
+    out.instance.state = from.leaving() ? InstanceState::Leaving : InstanceState::Live;
+    out.confirmed = from.confirmed();
+    out.version = from.version();
+    out.age = std::chrono::microseconds(from.age_us());
+    return out;
 }
 
 Result<MessageBody> readHeartbeat(const pb::Heartbeat &from)
 {
-    if (const auto checked = checkText(from.address(), MaxNameBytes, "heartbeat.address"); !checked) {
-        return tl::make_unexpected(checked.error());
+    Heartbeat out;
+    out.storeReachable = from.store_reachable();
+    if (from.members_size() > MaxItems) {
+        return fail(Code::BadMessage, "heartbeat: has too many items");
     }
-    return Heartbeat{from.version(), from.revision(), from.store_reachable(), from.leaving(), from.address()};
+    for (const pb::MemberReport &it : from.members()) {
+        auto report = readReport(it);
+        if (!report) {
+            return tl::make_unexpected(report.error());
+        }
+        out.members.push_back(std::move(*report));
+    }
+    return out;
 }
 
 Result<MessageBody> readBody(const pb::Envelope &from)
@@ -146,10 +176,8 @@
         return readNews(from.news());
     case pb::Envelope::kDocument:
         return readDocument(from.document());
-    case pb::Envelope::kConfirmation:
-        return Confirmation{from.confirmation().ticket(), from.confirmation().version()};
     case pb::Envelope::kRequest:
-        return readRequest(from.request());
+        return DocumentRequest{from.request().version()};
     case pb::Envelope::kHeartbeat:
         return readHeartbeat(from.heartbeat());
     case pb::Envelope::BODY_NOT_SET:
--- a/src/wire/message.h
+++ b/src/wire/message.h
@@ -6,9 +6,11 @@
 
 #include "base/result.h"
 #include "control/document.h"
+#include "member/membership.h"
 #include "route/balancer.h"
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -49,28 +51,18 @@
     bool        storeReachable = false;
 };
 
-/// Keeper to keeper: the instance uses only what the accepted and the staged state both allow.
-struct Confirmation {
-    uint64_t ticket = 0;
-    uint64_t version = 0; // of the document that staged it
-};
-
 /// Keeper to keeper: send the document if it is newer.
 struct DocumentRequest {
-    uint64_t    version = 0;     // held already
-    std::string instanceAddress; // of the one that asks
+    uint64_t version = 0; // held already
 };
 
-/// Keeper to keeper: alive.
+/// Keeper to keeper: alive. The first report is the sender's own; a watcher adds those of its data centre.
 struct Heartbeat {
-    uint64_t    version = 0;            // of the document held
-    uint64_t    revision = 0;           // accepted in it
-    bool        storeReachable = false; // by the last call
-    bool        leaving = false;        // stops gracefully
-    std::string address;                // where peers reach it
+    bool                      storeReachable = false; // by the last call
+    std::vector<MemberReport> members;
 };
 
-using MessageBody = std::variant<EntryHello, ConfigurationOffer, OfferApplied, NewsBatch, DocumentCopy, Confirmation,
+using MessageBody = std::variant<EntryHello, ConfigurationOffer, OfferApplied, NewsBatch, DocumentCopy,
                                  DocumentRequest, Heartbeat>;
 
 struct Message {
