Add the keeper: document, entry, peers, duty and acceptance

Cause: nothing carried an accepted ticket to the entries. Change: damask-keeper joins the store by a record that it writes before it reads the document, watches the document while it is on duty under a lease, hands what is in force to its entry, passes documents, heartbeats and news to other keepers within a hard budget, and accepts a staged ticket by a fenced compare-and-swap once all instances that are not gone have confirmed.

--- a/src/member/duty.cpp
+++ b/src/member/duty.cpp
@@ -63,8 +63,8 @@
 std::vector<Instance> heartbeatPeers(std::span<const MemberView> members, std::string_view self,
                                      const DutyOptions &options)
 {
-    const auto own = std::find_if(members.begin(), members.end(),
-                                  [self](const MemberView &it) { return it.instance.name == self; });
+    const auto own =
+        std::find_if(members.begin(), members.end(), [self](const MemberView &it) { return it.instance.name == self; });
     if (own == members.end()) {
         return {};
     }
--- a/src/member/duty.h
+++ b/src/member/duty.h
@@ -1,4 +1,5 @@
-/// Which keepers watch the store and pass changes on: the lowest-ranked ones of each data centre, in the order of names.
+/// Which keepers watch the store and pass changes on: the lowest-ranked ones of each data centre, in the order of
+/// names.
 ///
 /// There is no election: each keeper works it out from what it knows. Two views that differ make two keepers do the
 /// same work for a while, which does no harm, for every write is a compare-and-swap.
--- a/src/member/membership.cpp
+++ b/src/member/membership.cpp
@@ -24,6 +24,7 @@
         entry.confirmed = 0; // what an earlier start confirmed says nothing of this one
         entry.version = 0;
         entry.saidLeaving = false;
+        entry.everListed = false;
     }
     return entry;
 }
@@ -36,6 +37,7 @@
     for (const Instance &it : instances) {
         Entry &entry = entryOf(it, now);
         entry.listed = true;
+        entry.everListed = entry.everListed || it.incarnation == 0 || it.incarnation >= entry.instance.incarnation;
         entry.instance.entry = it.entry;
         if (it.state == InstanceState::Leaving && it.incarnation >= entry.instance.incarnation) {
             entry.instance.state = InstanceState::Leaving;
@@ -83,6 +85,7 @@
         view.recorded = entry.recorded;
         view.silence = now - entry.heardAt;
         view.silent = view.silence > m_options.silence;
+        view.delisted = entry.everListed && !entry.listed;
         view.confirmed = entry.confirmed;
         view.version = entry.version;
         if (gone(entry, now)) {
@@ -102,9 +105,8 @@
 
 void Membership::forgetGone(TimePoint now)
 {
-    std::erase_if(m_entries, [&](const auto &it) {
-        return gone(it.second, now) && now - it.second.heardAt > m_options.forget;
-    });
+    std::erase_if(m_entries,
+                  [&](const auto &it) { return gone(it.second, now) && now - it.second.heardAt > m_options.forget; });
 }
 
 } // namespace damask
--- a/src/member/membership.h
+++ b/src/member/membership.h
@@ -43,6 +43,7 @@
     bool        listed = false;   // the instance list shows it
     bool        recorded = false; // its record stands in the store
     bool        silent = false;   // not heard for long
+    bool        delisted = false; // the instance list showed this start once, and no longer does
     Duration    silence{0};       // since it was heard, or first seen
     uint64_t    confirmed = 0;    // by its current incarnation
     uint64_t    version = 0;      // of the document its keeper holds
@@ -54,8 +55,8 @@
 public:
     explicit Membership(const MembershipOptions &options = {});
 
-    void                    list(std::span<const Instance> instances, TimePoint now);    // the whole instance list
-    void                    record(std::span<const Instance> instances, TimePoint now);  // all records in the store
+    void                    list(std::span<const Instance> instances, TimePoint now);   // the whole instance list
+    void                    record(std::span<const Instance> instances, TimePoint now); // all records in the store
     void                    hear(const MemberReport &report, TimePoint now);
     std::vector<MemberView> members(TimePoint now) const; // in the order of names
 
@@ -65,6 +66,7 @@
         bool      listed = false;
         bool      recorded = false;
         bool      saidLeaving = false;
+        bool      everListed = false; // since its current start
         TimePoint heardAt;
         uint64_t  confirmed = 0;
         uint64_t  version = 0;
@@ -73,8 +75,8 @@
     void   forgetGone(TimePoint now);
     bool   gone(const Entry &entry, TimePoint now) const;
 
-    MembershipOptions                           m_options;
-    std::map<std::string, Entry, std::less<>>   m_entries;
+    MembershipOptions                         m_options;
+    std::map<std::string, Entry, std::less<>> m_entries;
 };
 
 } // namespace damask
--- /dev/null
+++ b/src/programs/damask-keeper/acceptor.h
@@ -0,0 +1,42 @@
+/// Accepts a staged ticket once every instance that is not gone has confirmed it.
+///
+/// Every keeper on duty may do it, the lowest-ranked one first; two at once do no harm, for the document changes by
+/// compare-and-swap. The duty lease is checked right before the write, and the write fails when its key is gone.
+#pragma once
+
+#include "document_holder.h"
+#include "keeper.h"
+#include "member_table.h"
+#include "store_side.h"
+
+#include <atomic>
+#include <span>
+
+namespace damask {
+
+class Acceptor
+{
+public:
+    Acceptor(Clock &clock, Metrics &metrics, const KeeperOptions &options, MemberTable &members,
+             DocumentHolder &documents, StoreSide &store);
+
+    void           tick(std::span<const MemberView> members, bool onDuty);
+    AcceptDecision decision() const; // for the staged ticket, as it looks now
+
+private:
+    void accept(uint64_t number);
+
+    Clock            &m_clock;
+    Metrics          &m_metrics;
+    KeeperOptions     m_options;
+    MemberTable      &m_members;
+    DocumentHolder   &m_documents;
+    StoreSide        &m_store;
+    TicketDesk        m_desk;
+    std::atomic<bool> m_busy{false};
+    uint64_t          m_number = 0;    // that is complete; ticking thread alone
+    TimePoint         m_completeSince; // ticking thread alone
+    TimePoint         m_tryAt;         // ticking thread alone
+};
+
+} // namespace damask
--- a/src/programs/damask-keeper/entry_port.cpp
+++ b/src/programs/damask-keeper/entry_port.cpp
@@ -52,6 +52,12 @@
     }
 }
 
+uint64_t EntryPort::offered() const
+{
+    LockGuard lock(m_mutex);
+    return m_configuration ? m_configuration->revision : 0;
+}
+
 uint64_t EntryPort::confirmed() const
 {
     LockGuard lock(m_mutex);
--- /dev/null
+++ b/src/programs/damask-keeper/member_table.cpp
@@ -0,0 +1,57 @@
+#include "member_table.h"
+
+namespace damask {
+
+MemberTable::MemberTable(Clock &clock, const Instance &self)
+    : m_clock(clock)
+    , m_self(self)
+{
+    hearSelf(0, 0, false);
+}
+
+void MemberTable::list(std::span<const Instance> instances)
+{
+    LockGuard lock(m_mutex);
+    m_membership.list(instances, m_clock.now());
+}
+
+void MemberTable::record(std::span<const Instance> instances)
+{
+    LockGuard lock(m_mutex);
+    m_membership.record(instances, m_clock.now());
+}
+
+void MemberTable::hear(const MemberReport &report)
+{
+    LockGuard lock(m_mutex);
+    m_membership.hear(report, m_clock.now());
+}
+
+void MemberTable::hearSelf(uint64_t confirmed, uint64_t version, bool leaving)
+{
+    MemberReport report{m_self, confirmed, version, Duration::zero()};
+    report.instance.state = leaving ? InstanceState::Leaving : InstanceState::Live;
+    hear(report);
+}
+
+std::vector<MemberView> MemberTable::members() const
+{
+    LockGuard lock(m_mutex);
+    return m_membership.members(m_clock.now());
+}
+
+std::vector<InstanceView> MemberTable::views() const
+{
+    std::vector<InstanceView> out;
+    for (const MemberView &it : members()) {
+        out.push_back({.name = it.instance.name,
+                       .incarnation = it.instance.incarnation,
+                       .listed = it.listed,
+                       .leaseHeld = it.recorded || !it.silent,
+                       .lapsedFor = it.silence,
+                       .confirmedRevision = it.confirmed});
+    }
+    return out;
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/programs/damask-keeper/member_table.h
@@ -0,0 +1,36 @@
+/// The membership as this keeper knows it, shared by its threads.
+#pragma once
+
+#include "base/clock.h"
+#include "base/lock.h"
+#include "control/accept.h"
+#include "member/duty.h"
+#include "member/membership.h"
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace damask {
+
+/// Safe from all threads.
+class MemberTable
+{
+public:
+    MemberTable(Clock &clock, const Instance &self);
+
+    void                      list(std::span<const Instance> instances);
+    void                      record(std::span<const Instance> instances);
+    void                      hear(const MemberReport &report);
+    void                      hearSelf(uint64_t confirmed, uint64_t version, bool leaving);
+    std::vector<MemberView>   members() const;
+    std::vector<InstanceView> views() const; // as the decision on a staged ticket wants them
+
+private:
+    Clock              &m_clock;
+    Instance            m_self;
+    mutable RankedMutex m_mutex{LockRank::Control};
+    Membership          m_membership;
+};
+
+} // namespace damask
--- /dev/null
+++ b/src/programs/damask-keeper/news_board.h
@@ -0,0 +1,56 @@
+/// What this instance's entry knows of targets and other keepers have not been told yet. News of a drain goes first.
+///
+/// Use: `board.put(batch.news, now); auto news = board.take(bytes, now);`
+#pragma once
+
+#include "base/time.h"
+#include "route/balancer.h"
+
+#include <cstddef>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace damask {
+
+struct NewsBoardOptions {
+    Duration freshFor = std::chrono::seconds(1);  // older news of load is worth nothing to others
+    Duration drainFor = std::chrono::seconds(10); // news of a drain is told for so long
+    int      loadRounds = 1;                      // times that news of load is given out
+    int      drainRounds = 6;                     // times that news of a drain is given out
+};
+
+/// Which news a receiver wants.
+enum class NewsScope {
+    All,    // in the same data centre
+    Drains, // elsewhere: the bytes across regions are paid for
+};
+
+/// Pure; the caller passes the time and holds any lock.
+class NewsBoard
+{
+public:
+    explicit NewsBoard(const NewsBoardOptions &options = {});
+
+    void                  put(std::span<const LoadNews> news, TimePoint now);
+    std::vector<LoadNews> take(NewsScope scope, size_t maxBytes, TimePoint now); // what fits, drains first
+    bool                  hasDrains() const;                                     // not yet given out as often as wanted
+    size_t                size() const;
+
+private:
+    struct Item {
+        LoadNews  news;
+        TimePoint seenAt;     // when the report came in, by its age
+        int       rounds = 0; // still to be given out
+    };
+    void dropOld(TimePoint now);
+
+    NewsBoardOptions                         m_options;
+    std::map<std::string, Item, std::less<>> m_items; // by target
+};
+
+/// Bytes that one item takes in a message.
+size_t newsBytes(const LoadNews &news);
+
+} // namespace damask
--- /dev/null
+++ b/src/programs/damask-keeper/store_side.cpp
@@ -0,0 +1,355 @@
+#include "store_side.h"
+
+#include "base/log.h"
+#include "base/worker_pool.h"
+#include "store/document_watch.h"
+#include "store/instance_list.h"
+
+#include <atomic>
+
+namespace damask {
+
+namespace {
+
+constexpr std::string_view DutyPrefix = "/damask/duty/";
+constexpr Duration RecordsInterval = std::chrono::seconds(10); // between reads of the records, on duty
+constexpr size_t PoolThreads = 2;
+constexpr size_t PoolQueue = 64;
+
+/// A call that is made again and again, and never twice at once.
+struct Job {
+    std::atomic<bool> busy{false};
+    TimePoint due; // touched by the ticking thread alone
+};
+
+} // namespace
+
+struct StoreSide::State {
+    Clock &clock;
+    Metrics &metrics;
+    KeeperOptions options;
+    MemberTable &members;
+    StoreSideHooks hooks;
+    StoreClient client;
+    DocumentWatch watch;
+    RandomSource random = systemRandom();
+    Backoff joinBackoff;
+
+    mutable RankedMutex mutex{LockRank::Control};
+    LeaseHolder lease;        // guarded by mutex
+    uint64_t dutyVersion = 0; // of the duty key; 0: not written; guarded by mutex
+    bool onDuty = false;      // touched by the ticking thread alone
+    std::atomic<bool> joined{false};
+    std::atomic<bool> stopping{false};
+
+    Job join;
+    Job poll;
+    Job list;
+    Job records;
+    Job renew;
+    WorkerPool pool; // last: its threads use all above
+
+    State(Clock &clockIn, Metrics &metricsIn, const KeeperOptions &optionsIn, MemberTable &membersIn,
+          StoreSideHooks hooksIn)
+        : clock(clockIn)
+        , metrics(metricsIn)
+        , options(optionsIn)
+        , members(membersIn)
+        , hooks(std::move(hooksIn))
+        , client(clockIn, metricsIn, optionsIn.store)
+        , watch(clockIn, metricsIn, client, hooks.codec,
+                {.changed = [this](VersionedDocument document,
+                                   std::string bytes) { hooks.adopt(std::move(document), std::move(bytes), "watch"); },
+                 .random = {}})
+        , joinBackoff({.least = std::chrono::milliseconds(500), .most = std::chrono::seconds(10)}, systemRandom())
+        , pool(clockIn, {.name = "store", .threads = PoolThreads, .queueLimit = PoolQueue})
+    {
+    }
+
+    void start(Job &job, Duration interval, std::function<void()> task)
+    {
+        const TimePoint now = clock.now();
+        if (now < job.due || job.busy.exchange(true)) {
+            return;
+        }
+        // A quarter of jitter keeps keepers that started together apart.
+        const double spread = 0.875 + 0.25 * randomUnit(random);
+        job.due = now + Duration(static_cast<int64_t>(static_cast<double>(interval.count()) * spread));
+        const auto queued = pool.submit([&job, task = std::move(task)] {
+            task();
+            job.busy = false;
+        });
+        if (!queued) {
+            job.busy = false;
+        }
+    }
+
+    std::string dutyKey() const
+    {
+        return std::string(DutyPrefix) + options.self.dataCentre + "/" + options.self.name;
+    }
+
+    void joinStore()
+    {
+        if (const auto written = writeRecord(client, options.self); !written) {
+            logEvent(Severity::Warning, "join-failed",
+                     {{"code", codeNumber(written.error().code)}, {"reason", written.error().detail}});
+            return;
+        }
+        joined = true;
+        logEvent(Severity::Info, "joined", {{"incarnation", options.self.incarnation}});
+        readList();
+        readDocument();
+    }
+
+    void readDocument()
+    {
+        const auto entry = client.get(DocumentKey);
+        if (!entry) {
+            if (entry.error().code == Code::NotFound) {
+                hooks.adopt(VersionedDocument{}, hooks.codec.encode(ControlDocument{}), "store");
+            }
+            return;
+        }
+        auto document = damask::readDocument(*entry, metrics, hooks.codec);
+        if (document) {
+            hooks.adopt(std::move(*document), entry->value, "store");
+        }
+    }
+
+    void readList()
+    {
+        const auto instances = fetchInstances(client);
+        if (instances) {
+            members.list(*instances);
+        } else if (instances.error().code == Code::StoreBadValue) {
+            metrics.count("damask_store_bad_values_total");
+        }
+    }
+
+    void readRecords()
+    {
+        const auto found = fetchRecords(client);
+        if (found) {
+            members.record(*found);
+        }
+    }
+
+    /// Off duty: the record may have been taken for one of a dead instance, so it is looked after here too.
+    void slowPoll()
+    {
+        const auto record = client.get(std::string(MembersPrefix) + options.self.name);
+        if (!record && record.error().code == Code::NotFound) {
+            joined = writeRecord(client, options.self).has_value();
+        }
+        readDocument();
+        readList();
+    }
+
+    void keepDuty()
+    {
+        const TimePoint askedAt = clock.now();
+        uint64_t id = 0;
+        {
+            LockGuard lock(mutex);
+            id = lease.id();
+        }
+        if (id == 0) {
+            takeDuty();
+            return;
+        }
+        const auto left = client.keepLease(id);
+        LockGuard lock(mutex);
+        if (left) {
+            lease.granted(id, askedAt, *left);
+        } else if (left.error().code == Code::LeaseLapsed) {
+            lease.lost();
+            dutyVersion = 0;
+            metrics.countCode("damask_keeper_duty_refusals_total", Code::LeaseLapsed);
+        }
+    }
+
+    void takeDuty()
+    {
+        const TimePoint askedAt = clock.now();
+        const auto id = client.grantLease(options.leaseTime);
+        if (!id) {
+            return;
+        }
+        const auto version = client.put(dutyKey(), encodeInstance(options.self), *id);
+        if (!version) {
+            return; // the lease ends by itself
+        }
+        LockGuard lock(mutex);
+        lease.granted(*id, askedAt, options.leaseTime);
+        dutyVersion = *version;
+        logEvent(Severity::Info, "duty-taken", {{"lease", *id}});
+    }
+
+    void dropDuty()
+    {
+        uint64_t id = 0;
+        {
+            LockGuard lock(mutex);
+            id = lease.id();
+            lease.lost();
+            dutyVersion = 0;
+        }
+        if (id != 0 && !client.revokeLease(id)) {
+            logEvent(Severity::Warning, "lease-not-revoked", {{"lease", id}}); // it ends by itself
+        }
+    }
+
+    Result<StoreFence> duty() const
+    {
+        LockGuard lock(mutex);
+        if (const auto held = lease.check(clock.now()); !held) {
+            metrics.countCode("damask_keeper_duty_refusals_total", Code::LeaseLapsed);
+            return tl::make_unexpected(held.error());
+        }
+        return StoreFence{dutyKey(), dutyVersion};
+    }
+
+    bool renewalDue() const
+    {
+        LockGuard lock(mutex);
+        return lease.renewalDue(clock.now());
+    }
+};
+
+StoreSide::StoreSide(Clock &clock, Metrics &metrics, const KeeperOptions &options, MemberTable &members,
+                     StoreSideHooks hooks)
+    : m_state(std::make_unique<State>(clock, metrics, options, members, std::move(hooks)))
+{
+}
+
+StoreSide::~StoreSide()
+{
+    stop();
+}
+
+void StoreSide::tick(bool onDuty, size_t fleet)
+{
+    State &state = *m_state;
+    if (!state.joined) {
+        if (state.clock.now() >= state.join.due && !state.join.busy) {
+            state.start(state.join, state.joinBackoff.next(), [&state] { state.joinStore(); });
+        }
+        return;
+    }
+    if (onDuty != state.onDuty) {
+        state.onDuty = onDuty;
+        state.poll.due = state.clock.now() + state.options.leastPoll;
+        if (onDuty) {
+            state.watch.start();
+        } else {
+            submit([&state] {
+                state.watch.stop();
+                state.dropDuty();
+            });
+        }
+    }
+    if (!onDuty) {
+        const Duration interval = pollInterval(fleet, state.options.leastPoll, state.options.pollsPerSecond);
+        state.start(state.poll, interval, [&state] { state.slowPoll(); });
+        return;
+    }
+    state.start(state.list, state.options.listInterval, [this] {
+        m_state->readList();
+        reap();
+    });
+    state.start(state.records, RecordsInterval, [&state] { state.readRecords(); });
+    if (state.renewalDue()) {
+        state.start(state.renew, std::chrono::seconds(1), [&state] { state.keepDuty(); });
+    }
+}
+
+void StoreSide::stop()
+{
+    State &state = *m_state;
+    if (state.stopping.exchange(true)) {
+        return;
+    }
+    state.watch.stop();
+    state.pool.drain();
+    state.dropDuty();
+    if (state.joined && !removeRecord(state.client, state.options.self.name)) {
+        logEvent(Severity::Warning, "record-not-removed", {{"name", state.options.self.name}});
+    }
+}
+
+void StoreSide::submit(std::function<void()> task)
+{
+    if (const auto queued = m_state->pool.submit(std::move(task)); !queued) {
+        m_state->metrics.countCode("damask_keeper_task_refusals_total", queued.error().code);
+    }
+}
+
+void StoreSide::refresh()
+{
+    submit([this] { m_state->readDocument(); });
+}
+
+void StoreSide::readRecords()
+{
+    m_state->readRecords();
+}
+
+void StoreSide::reap()
+{
+    const Duration limit = 3 * m_state->options.accept.listLag;
+    bool removed = false;
+    for (const MemberView &it : m_state->members.members()) {
+        const bool dead = it.recorded && !it.listed && it.silent && (it.delisted || it.silence > limit);
+        if (!dead || !duty()) {
+            continue;
+        }
+        if (removeRecord(m_state->client, it.instance.name)) {
+            removed = true;
+            logEvent(Severity::Warning, "instance-gone",
+                     {{"name", it.instance.name}, {"silenceSeconds", toSeconds(it.silence)}});
+        }
+    }
+    if (removed) {
+        m_state->readRecords();
+    }
+}
+
+Result<StoreFence> StoreSide::duty() const
+{
+    return m_state->duty();
+}
+
+bool StoreSide::joined() const
+{
+    return m_state->joined;
+}
+
+bool StoreSide::reachable() const
+{
+    return m_state->client.reachable();
+}
+
+DocumentStore StoreSide::documents()
+{
+    return makeDocumentStore(m_state->client, m_state->metrics, m_state->hooks.codec);
+}
+
+DocumentStore StoreSide::fencedDocuments()
+{
+    DocumentStore out = documents();
+    out.swap = [this](const ControlDocument &document, uint64_t version) -> Result<uint64_t> {
+        const auto fence = duty();
+        if (!fence) {
+            return tl::make_unexpected(fence.error());
+        }
+        return m_state->client.swap({.key = std::string(DocumentKey),
+                                     .value = m_state->hooks.codec.encode(document),
+                                     .version = version,
+                                     .lease = 0,
+                                     .fence = *fence});
+    };
+    return out;
+}
+
+} // namespace damask
--- a/src/store/backoff.cpp
+++ b/src/store/backoff.cpp
@@ -14,7 +14,8 @@
 Duration Backoff::next()
 {
     const auto half = m_pause / 2;
-    const Duration pause = half + Duration(static_cast<int64_t>(static_cast<double>(half.count()) * randomUnit(m_random)));
+    const Duration pause =
+        half + Duration(static_cast<int64_t>(static_cast<double>(half.count()) * randomUnit(m_random)));
     m_pause = std::min(m_pause * 2, m_options.most);
     return pause;
 }
--- a/src/store/instance_list.cpp
+++ b/src/store/instance_list.cpp
@@ -31,8 +31,8 @@
     Instance out;
     std::string state = "live";
     const bool ok = json.is_object() && textOf(json, "name", out.name) && textOf(json, "dataCentre", out.dataCentre)
-        && textOf(json, "region", out.region) && textOf(json, "keeper", out.keeper) && textOf(json, "entry", out.entry)
-        && textOf(json, "state", state);
+                    && textOf(json, "region", out.region) && textOf(json, "keeper", out.keeper)
+                    && textOf(json, "entry", out.entry) && textOf(json, "state", state);
     if (!ok || out.name.empty() || (state != "live" && state != "leaving")) {
         return fail(Code::StoreBadValue, "an instance is not well-formed");
     }
--- a/src/wire/message.h
+++ b/src/wire/message.h
@@ -62,8 +62,8 @@
     std::vector<MemberReport> members;
 };
 
-using MessageBody = std::variant<EntryHello, ConfigurationOffer, OfferApplied, NewsBatch, DocumentCopy,
-                                 DocumentRequest, Heartbeat>;
+using MessageBody =
+    std::variant<EntryHello, ConfigurationOffer, OfferApplied, NewsBatch, DocumentCopy, DocumentRequest, Heartbeat>;
 
 struct Message {
     std::string sender;          // name of the instance
