--- a/scripts/lib/damaskbench.py
+++ b/scripts/lib/damaskbench.py
@@ -15,6 +15,9 @@
 BIN = ROOT / os.environ.get("DAMASK_BUILD", "build") / "bin"
 STOP_SECONDS = 30  # a graceful stop that takes longer is a failure
 START_SECONDS = 20
+FIRST_PORT = 10000  # below the ports that the system hands out by itself
+PORTS_EACH = 700    # for one bench; benches that run side by side take other ranges
+PORT_RANGES = 32
 
 
 def http(method, port, path, body=None, token="", timeout=10):
@@ -93,9 +96,9 @@
 class Bench:
     """A folder of settings and logs, a range of ports, and the processes started in it."""
 
-    def __init__(self, base_port=20000, keep=False):
+    def __init__(self, keep=False):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="damask-"))
-        self.next_port = base_port
+        self.next_port = FIRST_PORT + os.getpid() % PORT_RANGES * PORTS_EACH
         self.processes = {}
         self.keep = keep
         self.failures = []
