--- a/scripts/lib/experiment.py
+++ b/scripts/lib/experiment.py
@@ -61,19 +61,21 @@
         """Runs it whole; prints its figures; gives those that do not hold."""
         system = self.build(bench)
         system.start()
+        results = {}
+        self.play_whole(system, results)
+        return self._report(system, results, case, labels)
+
+    def play_whole(self, system, results):
+        """Plays faults and loads to their end; puts each load's summary into results by its name."""
         started = time.monotonic()
         timeline = sorted(self._events(system), key=lambda it: it[0])
-        faults = threading.Thread(target=self._play, args=(timeline, started))
-        faults.start()
-        results = {}
-        threads = [threading.Thread(target=self._load, args=(system, name, it, started, results))
-                   for name, it in self.loads.items()]
-        for thread in threads + [faults]:
-            if thread is not faults:
-                thread.start()
-        for thread in threads + [faults]:
+        threads = [threading.Thread(target=self._play, args=(timeline, started))]
+        threads += [threading.Thread(target=self._load, args=(system, name, it, started, results))
+                    for name, it in self.loads.items()]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
             thread.join()
-        return self._report(system, results, case, labels)
 
     def _events(self, system):
         for name, it in self.faults.items():
--- a/standins/damask-load/record.cpp
+++ b/standins/damask-load/record.cpp
@@ -2,6 +2,7 @@
 
 #include "settings/settings.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -31,6 +32,43 @@
     return buf.data();
 }
 
+bool failed(const CallRecord &record)
+{
+    return !record.answered || record.status >= FirstFailure;
+}
+
+double percentileOf(std::vector<Duration> &latencies, double share)
+{
+    if (latencies.empty()) {
+        return 0;
+    }
+    const auto place = static_cast<ptrdiff_t>(share * static_cast<double>(latencies.size() - 1));
+    std::nth_element(latencies.begin(), latencies.begin() + place, latencies.end());
+    return toMilliseconds(latencies[static_cast<size_t>(place)]);
+}
+
+std::vector<RunWindow> windowsOf(std::span<const CallRecord> records)
+{
+    std::vector<RunWindow> windows;
+    std::vector<std::vector<Duration>> latencies;
+    for (const CallRecord &it : records) {
+        const auto place = static_cast<size_t>(it.at / WindowLength);
+        if (place >= windows.size()) {
+            windows.resize(place + 1);
+            latencies.resize(place + 1);
+        }
+        ++windows[place].calls;
+        windows[place].failed += failed(it) ? 1 : 0;
+        if (it.answered) {
+            latencies[place].push_back(it.latency);
+        }
+    }
+    for (size_t n = 0; n < windows.size(); ++n) {
+        windows[n].p99 = percentileOf(latencies[n], 0.99);
+    }
+    return windows;
+}
+
 std::string countRows(std::string_view title, const std::map<std::string, uint64_t> &counts)
 {
     std::string out = std::string(title) + "\n";
@@ -93,7 +131,7 @@
     for (const CallRecord &it : records) {
         const auto entry = ledger.find(it.id);
         const int ran = entry == ledger.end() ? 0 : entry->second;
-        const bool told = it.answered && it.status < FirstFailure;
+        const bool told = !failed(it);
         if (!it.answered) {
             note(out, out.cut, it, "no answer came");
         }
@@ -123,7 +161,7 @@
         if (it.answered) {
             out.all.add(it.latency);
         }
-        if (it.answered && it.status < FirstFailure) {
+        if (!failed(it)) {
             ++out.succeeded;
             out.good.add(it.latency);
             ++out.targets[it.target];
@@ -131,6 +169,7 @@
             out.lastBad = std::max(out.lastBad, toSeconds(it.at));
         }
     }
+    out.windows = windowsOf(records);
     return out;
 }
 
@@ -161,7 +200,13 @@
 std::string summaryJson(const RunSummary &summary, Duration took)
 {
     const Judgement &judgement = summary.judgement;
-    const nlohmann::json out{{"calls", summary.calls},
+    nlohmann::json windows = nlohmann::json::array();
+    for (const RunWindow &it : summary.windows) {
+        windows.push_back({{"calls", it.calls}, {"failed", it.failed}, {"p99", it.p99}});
+    }
+    const nlohmann::json out{{"windows", windows},
+                             {"window_s", toSeconds(WindowLength)},
+                             {"calls", summary.calls},
                              {"succeeded", summary.succeeded},
                              {"seconds", toSeconds(took)},
                              {"p50", summary.good.percentile(0.5)},
--- a/standins/damask-load/record.h
+++ b/standins/damask-load/record.h
@@ -58,6 +58,15 @@
     uint64_t                                      m_count = 0;
 };
 
+/// One slice of a run's time, by the planned time of its calls.
+struct RunWindow {
+    uint64_t calls = 0;
+    uint64_t failed = 0; // no answer, or a status that is not 2xx
+    double   p99 = 0;    // ms, of all answered calls
+};
+
+constexpr Duration WindowLength = std::chrono::milliseconds(250); // of a RunWindow
+
 /// The figures of a run.
 struct RunSummary {
     uint64_t                        calls = 0;
@@ -69,6 +78,7 @@
     std::map<std::string, uint64_t> targets;       // by name
     Judgement                       judgement;
     double                          lastBad = 0; // s from the start at which the last call failed
+    std::vector<RunWindow>          windows;     // one after the other from the start of the run
 };
 
 /// Reads "id times" lines into the ledger.
--- a/standins/damask-target/model.cpp
+++ b/standins/damask-target/model.cpp
@@ -27,6 +27,7 @@
 void TargetModel::arrive(HeldCall call, TimePoint now, std::vector<DueAnswer> &due)
 {
     ++arrived;
+    lastArrival = now;
     if (faults.failFast) {
         TargetAnswer failed = answerFor(false, now);
         failed.status = 500;
@@ -39,7 +40,6 @@
         due.push_back({std::move(call.answer), answerFor(true, now)});
         return;
     }
-    lastArrival = now;
     if (m_running.size() < static_cast<size_t>(m_options.slots)) {
         start(std::move(call), now);
     } else {
--- a/standins/damask-target/model.h
+++ b/standins/damask-target/model.h
@@ -85,7 +85,7 @@
     std::unordered_map<std::string, int> ran;           // the ledger: times each request id was run
     uint64_t                             arrived = 0;   // requests
     uint64_t                             refused = 0;   // requests
-    TimePoint                            lastArrival{}; // of a request that was not refused
+    TimePoint                            lastArrival{}; // of any request, refused or not
 
 private:
     void         start(HeldCall call, TimePoint now);
