Prove the front's limits, stop and reading against hand-written callers

Cause: each limit needs a test that produces what it is for. Change: tests for slow header and body, sizes, connections, held bytes, depth, stop with 100 calls in flight, half-sent requests at a stop, HTTP/1.0, smuggling, and random cuts of a stream of requests. The stop test found that an answer said Connection: close only if the stop began before its call; now the front is asked after the handler ran.

--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -77,10 +77,10 @@
         call.path = path;
         return answerCall(call, cancel);
     };
-    EncodedAnswer answer = exchange.run(it->head, call.requestId, leaving, hook);
+    EncodedAnswer answer = exchange.run(it->head, call.requestId, hook);
     admission.leave();
     it->out = std::move(answer.bytes);
-    it->close = answer.close || leaving || cancel.cancelled();
+    it->close = answer.close || cancel.cancelled();
     drive(it);
 }
 
@@ -106,7 +106,7 @@
     const auto hook = [&answer](std::string_view, std::string_view) {
         return answer;
     };
-    EncodedAnswer encoded = exchange.run(it.head, requestId, leaving, hook);
+    EncodedAnswer encoded = exchange.run(it.head, requestId, hook);
     it.out = std::move(encoded.bytes);
     it.close = encoded.close;
 }
--- a/src/front/exchange.cpp
+++ b/src/front/exchange.cpp
@@ -16,13 +16,15 @@
 
 /// What one thread is at: the library hands its hooks no context of their own.
 struct Running {
-    Running(const AnswerHook &answer, std::string_view id)
+    Running(const AnswerHook &answer, const std::function<bool()> &closing, std::string_view id)
         : hook(answer)
+        , mustClose(closing)
         , requestId(id)
     {
     }
 
     const AnswerHook &hook;
+    const std::function<bool()> &mustClose;
     std::string_view requestId;
     bool close = false;
     bool called = false;
@@ -126,13 +128,13 @@
     }
 
     /// False when the library found the request line malformed.
-    bool process(MemoryStream &stream, bool close)
+    bool process(MemoryStream &stream)
     {
         bool closed = false;
-        process_request(stream, close, closed, [close](httplib::Request &request) {
+        process_request(stream, false, closed, [](httplib::Request &request) {
             const std::string option = request.get_header_value("Connection");
             const bool old = request.version == "HTTP/1.0";
-            running->close = close || option == "close" || (old && option != "Keep-Alive");
+            running->close = option == "close" || (old && option != "Keep-Alive");
         });
         return running->called;
     }
@@ -142,6 +144,7 @@
     {
         running->called = true;
         Answer given = running->hook(request.method, request.target);
+        running->close = running->close || running->mustClose();
         if (given.status < LowestStatus || given.status > HighestStatus) {
             given = Answer{};
             given.status = 502;
@@ -158,20 +161,27 @@
     }
 };
 
-HttpExchange::HttpExchange()
-    : m_library(std::make_unique<Library>())
+HttpExchange::HttpExchange(std::function<bool()> leaving)
+    : m_leaving(std::move(leaving))
+    , m_library(std::make_unique<Library>())
 {
 }
 
 HttpExchange::~HttpExchange() = default;
 
-EncodedAnswer HttpExchange::run(const RequestHead &head, std::string_view requestId, bool close, const AnswerHook &hook)
+EncodedAnswer HttpExchange::run(const RequestHead &head, std::string_view requestId, const AnswerHook &hook)
 {
-    Running now(hook, requestId);
+    return runWith(head, requestId, hook, m_leaving);
+}
+
+EncodedAnswer HttpExchange::runWith(const RequestHead &head, std::string_view requestId, const AnswerHook &hook,
+                                    const std::function<bool()> &mustClose)
+{
+    Running now(hook, mustClose, requestId);
     running = &now;
     const std::string text = headForLibrary(head);
     MemoryStream stream(text);
-    const bool called = m_library->process(stream, close);
+    const bool called = m_library->process(stream);
     running = nullptr;
     if (!called) {
         return {refuse(refusal({Code::BadRequest, "the request line is malformed"})), true};
@@ -183,7 +193,10 @@
 {
     RequestHead head;
     head.line = "GET / HTTP/1.1";
-    return run(head, {}, true, [&answer](std::string_view, std::string_view) { return answer; }).bytes;
+    const auto hook = [&answer](std::string_view, std::string_view) {
+        return answer;
+    };
+    return runWith(head, {}, hook, [] { return true; }).bytes;
 }
 
 } // namespace damask
--- a/src/front/exchange.h
+++ b/src/front/exchange.h
@@ -24,17 +24,22 @@
 class HttpExchange
 {
 public:
-    HttpExchange();
+    explicit HttpExchange(std::function<bool()> leaving); // asked after each answer: must its connection close?
     ~HttpExchange();
 
     /// The hook is called at most once; not at all when the request line is malformed (answered with BadRequest).
-    EncodedAnswer run(const RequestHead &head, std::string_view requestId, bool close, const AnswerHook &hook);
+    EncodedAnswer run(const RequestHead &head, std::string_view requestId, const AnswerHook &hook);
 
     /// The bytes of an answer to a request that could not be read; its connection is to be closed.
     std::string refuse(const Answer &answer);
 
 private:
     class Library;
+
+    EncodedAnswer runWith(const RequestHead &head, std::string_view requestId, const AnswerHook &hook,
+                          const std::function<bool()> &mustClose);
+
+    std::function<bool()>    m_leaving;
     std::unique_ptr<Library> m_library;
 };
 
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -20,6 +20,7 @@
     , metrics(m)
     , options(o)
     , handler(std::move(h))
+    , exchange([this] { return leaving.load(); })
     , admission(o.admission)
     , random(systemRandom())
     , requests(m.counter("damask_front_requests_total"))
--- a/tests/front/running_front.h
+++ b/tests/front/running_front.h
@@ -6,9 +6,23 @@
 #include "front/server.h"
 
 #include <criterion/criterion.h>
+#include <functional>
 
 namespace damask {
 
+/// Waits until something holds that no hook tells of. Looks again every millisecond of real time.
+inline void waitUntil(const std::function<bool()> &holds)
+{
+    Clock       real;
+    RankedMutex mutex{LockRank::Program};
+    Condition   nobody(real);
+    LockGuard   lock(mutex);
+    while (!holds()) {
+        nobody.waitUntil(lock, real.now() + std::chrono::milliseconds(1));
+    }
+}
+
+/// A front whose calls go to a FakeHandler.
 struct RunningFront {
     explicit RunningFront(const FrontOptions &options = {})
         : handler(clock)
--- /dev/null
+++ b/tests/front/test_limits.cpp
@@ -0,0 +1,157 @@
+#include "front/running_front.h"
+
+#include <memory>
+#include <vector>
+
+using namespace damask;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view PostHead = "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n";
+
+void waitForHeldBytes(const RunningFront &it, size_t n)
+{
+    waitUntil([&] { return it.front.status().heldBytes >= n; });
+}
+
+void expectSlowSender(RunningFront &it, std::string_view partial, size_t held)
+{
+    it.clock.pause();
+    RawCaller caller = it.caller();
+    caller.send(partial);
+    waitForHeldBytes(it, held);
+    it.clock.advance(9s);
+    cr_assert(it.refusals(Code::SlowSender) == 0);
+    it.clock.advance(2s);
+    const RawAnswer answer = caller.receive();
+    cr_assert(answer.status == 408 && answer.field("X-Damask-Code") == "304 SlowSender");
+    cr_assert(answer.field("X-Damask-Outcome") == "not-run" && answer.field("Connection") == "close");
+    cr_assert(caller.closedByPeer());
+    cr_assert(it.refusals(Code::SlowSender) == 1);
+    cr_assert(it.front.status().workerTasks == 0, "a slow sender costs no worker");
+}
+
+} // namespace
+
+Test(limits, a_slow_header_is_refused_and_costs_no_worker)
+{
+    RunningFront it;
+    expectSlowSender(it, "GET / HTTP/1.1\r\nHost:", 21);
+}
+
+Test(limits, a_slow_body_is_refused_and_costs_no_worker)
+{
+    RunningFront it;
+    expectSlowSender(it, std::string(PostHead) + "12345", 5);
+}
+
+Test(limits, bytes_buy_time_for_a_large_body)
+{
+    FrontOptions options;
+    options.leastBytesPerSecond = 1000;
+    RunningFront it(options);
+    it.clock.pause();
+    RawCaller caller = it.caller();
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5001\r\n\r\n" + std::string(5000, 'x'));
+    waitForHeldBytes(it, 5000);
+    it.clock.advance(14s);
+    const RawAnswer answer = caller.ask("y");
+    cr_assert(answer.status == 200 && answer.body.ends_with("xy"));
+}
+
+Test(limits, a_caller_that_takes_nothing_of_its_answer_is_closed_and_costs_no_worker)
+{
+    RunningFront it;
+    it.clock.pause();
+    RawCaller caller = it.caller();
+    const std::string body(6 * 1024 * 1024, 'x');
+    caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    it.handler.waitForCalls(1);
+    waitUntil([&] { return it.front.status().callsInFlight == 0; });
+    waitUntil([&] {
+        it.clock.advance(11s);
+        return it.front.status().connections == 0;
+    });
+    RawCaller other = it.caller();
+    cr_assert(other.ask(getRequest("/")).status == 200);
+}
+
+Test(limits, sizes_are_refused_with_code_and_counter)
+{
+    FrontOptions options;
+    options.limits = {.headerBytes = 200, .bodyBytes = 9};
+    RunningFront it(options);
+    const RawAnswer header = it.caller().ask("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(300, 'x'));
+    cr_assert(header.status == 431 && header.field("X-Damask-Code") == "302 HeaderTooLarge");
+    const RawAnswer body = it.caller().ask(PostHead);
+    cr_assert(body.status == 413 && body.field("X-Damask-Code") == "303 BodyTooLarge");
+    const RawAnswer chunked =
+        it.caller().ask("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n5\r\n12345");
+    cr_assert(chunked.status == 413);
+    cr_assert(it.refusals(Code::HeaderTooLarge) == 1 && it.refusals(Code::BodyTooLarge) == 2);
+    cr_assert(it.handler.calls().empty());
+}
+
+Test(limits, more_connections_than_allowed_are_answered_and_closed)
+{
+    FrontOptions options;
+    options.maxConnections = 2;
+    RunningFront it(options);
+    RawCaller first = it.caller();
+    auto second = std::make_unique<RawCaller>(it.front.port());
+    cr_assert(first.ask(getRequest("/")).status == 200 && second->ask(getRequest("/")).status == 200);
+    RawCaller third = it.caller();
+    const RawAnswer refused = third.receive();
+    cr_assert(refused.status == 503 && refused.field("X-Damask-Code") == "305 TooManyConnections");
+    cr_assert(refused.field("Retry-After") == "1" && third.closedByPeer());
+    cr_assert(first.ask(getRequest("/")).status == 200, "those inside go on");
+    cr_assert(it.refusals(Code::TooManyConnections) == 1);
+}
+
+Test(limits, incomplete_requests_hold_no_more_than_their_share_of_memory)
+{
+    FrontOptions options;
+    options.maxHeldBytes = 1000;
+    RunningFront it(options);
+    RawCaller caller = it.caller();
+    const RawAnswer refused =
+        caller.ask("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" + std::string(2000, 'x'));
+    cr_assert(refused.status == 503 && refused.field("X-Damask-Code") == "114 EntryBusy");
+    cr_assert(caller.closedByPeer());
+    cr_assert(it.caller().ask(getRequest("/")).status == 200);
+}
+
+Test(limits, shallow_calls_can_not_take_the_workers_of_deeper_ones)
+{
+    FrontOptions options;
+    options.admission = {.workers = 6, .reservedEach = 2, .levels = 2};
+    RunningFront it(options);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    const auto hold = [&](int depth) {
+        callers.push_back(std::make_unique<RawCaller>(it.front.port()));
+        callers.back()->send(getRequest("/hold", "X-Damask-Depth: " + std::to_string(depth) + "\r\n"));
+        it.handler.waitForCalls(callers.size());
+    };
+    const auto expectBusy = [&](int depth) {
+        RawCaller caller = it.caller();
+        const RawAnswer answer = caller.ask(getRequest("/x", "X-Damask-Depth: " + std::to_string(depth) + "\r\n"));
+        cr_assert(answer.status == 503 && answer.field("X-Damask-Code") == "114 EntryBusy");
+        cr_assert(answer.field("X-Damask-Outcome") == "not-run" && answer.field("Retry-After") == "1");
+        cr_assert(answer.field("Connection").empty(), "the connection stays usable");
+    };
+    hold(0);
+    hold(0);
+    expectBusy(0);
+    hold(1);
+    hold(1);
+    expectBusy(1);
+    hold(2);
+    hold(7);
+    expectBusy(2);
+    it.handler.release();
+    for (const auto &caller : callers) {
+        cr_assert(caller->receive().status == 200);
+    }
+    cr_assert(it.refusals(Code::EntryBusy) == 3);
+}
--- /dev/null
+++ b/tests/front/test_reader.cpp
@@ -0,0 +1,144 @@
+#include "front/request_reader.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace damask;
+
+namespace {
+
+/// The code that a stream of bytes ends in; Ok when it gives a request or waits for more.
+Code codeOf(std::string_view bytes)
+{
+    RequestReader reader(RequestLimits{});
+    reader.append(bytes);
+    const auto whole = reader.advance();
+    return whole ? Code::Ok : whole.error().code;
+}
+
+std::string withFields(std::string_view fields)
+{
+    return "POST / HTTP/1.1\r\nHost: a\r\n" + std::string(fields) + "\r\n";
+}
+
+std::string chunked(std::string_view body, size_t chunk)
+{
+    std::string out;
+    for (size_t at = 0; at < body.size(); at += chunk) {
+        const std::string_view part = body.substr(at, chunk);
+        char size[20];
+        std::snprintf(size, sizeof size, "%zx", part.size());
+        out += std::string(size) + ";ext=1\r\n" + std::string(part) + "\r\n";
+    }
+    return out + "0\r\nTrailer: x\r\n\r\n";
+}
+
+/// A request with its body in one of the three forms.
+std::string encode(std::string_view path, std::string_view body, int form)
+{
+    const std::string head = "POST " + std::string(path) + " HTTP/1.1\r\nHost: a\r\n";
+    if (form == 0 || body.empty()) {
+        return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+    }
+    return head + "Transfer-Encoding: Chunked\r\n\r\n" + chunked(body, form == 1 ? 1 : 7);
+}
+
+} // namespace
+
+Test(reader, whatever_two_parsers_could_read_in_two_ways_is_refused)
+{
+    const std::vector<std::string> bad{
+        withFields("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n"),
+        withFields("Content-Length: 1\r\nContent-Length: 1\r\n"),
+        withFields("Content-Length: 1\r\nContent-Length: 2\r\n"),
+        withFields("Content-Length: 1, 1\r\n"),
+        withFields("Content-Length: +1\r\n"),
+        withFields("Content-Length: -1\r\n"),
+        withFields("Content-Length: 0x1\r\n"),
+        withFields("Content-Length:\r\n"),
+        withFields("Content-Length: 99999999999999999999\r\n"),
+        withFields("Content-Length : 1\r\n"),
+        withFields("Content-Length: 1\r\n folded: 2\r\n"),
+        withFields("Transfer-Encoding: chunked, chunked\r\n"),
+        withFields("Transfer-Encoding: gzip\r\n"),
+        withFields("Transfer-Encoding: identity\r\n"),
+        withFields("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"),
+        withFields("Transfer-Encoding:\x0b"
+                   "chunked\r\n"),
+        withFields("Host: b\r\n"),
+        withFields("no colon\r\n"),
+        withFields(": empty\r\n"),
+        withFields("X: a\rb\r\n"),
+        withFields(std::string_view("X: a\0b\r\n", 8)),
+        "GET / HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.1\nHost: a\n\n",
+        "GET /\xc3\xa9 HTTP/1.1\r\nHost: a\r\n\r\n",
+        " GET / HTTP/1.1\r\nHost: a\r\n folded\r\n\r\n",
+        "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+        withFields("Transfer-Encoding: chunked\r\n") + "g\r\n",
+        withFields("Transfer-Encoding: chunked\r\n") + "-1\r\n",
+        withFields("Transfer-Encoding: chunked\r\n") + "1\r\nabc\r\n",
+        withFields("Transfer-Encoding: chunked\r\n") + "1\na\r\n",
+        withFields("Transfer-Encoding: chunked\r\n") + "\r\n",
+    };
+    for (const std::string &it : bad) {
+        cr_assert(codeOf(it) == Code::BadRequest, "taken: %s", it.c_str());
+    }
+    cr_assert(codeOf(withFields("Transfer-Encoding: chunked\r\n") + "fffffff\r\n") == Code::BodyTooLarge);
+}
+
+Test(reader, requests_come_out_the_same_however_their_bytes_are_cut)
+{
+    const bool held = rc::check("cut anywhere", [] {
+        const auto bodies = *rc::gen::container<std::vector<std::string>>(rc::gen::arbitrary<std::string>());
+        std::string stream;
+        for (size_t n = 0; n < bodies.size(); ++n) {
+            stream += encode("/" + std::to_string(n), bodies[n], static_cast<int>(n % 3));
+        }
+        RequestReader reader(RequestLimits{});
+        size_t seen = 0;
+        while (!stream.empty()) {
+            const auto cut = static_cast<size_t>(*rc::gen::inRange<int>(1, static_cast<int>(stream.size()) + 1));
+            reader.append(std::string_view(stream).substr(0, cut));
+            stream.erase(0, cut);
+            auto whole = reader.advance();
+            while (whole && *whole) {
+                const WholeRequest request = reader.take();
+                RC_ASSERT(request.body == bodies.at(seen));
+                RC_ASSERT(request.head.line == "POST /" + std::to_string(seen) + " HTTP/1.1");
+                ++seen;
+                whole = reader.advance();
+            }
+            RC_ASSERT(whole.has_value());
+        }
+        RC_ASSERT(seen == bodies.size());
+        RC_ASSERT(reader.idle() && reader.heldBytes() == 0);
+    });
+    cr_assert(held);
+}
+
+Test(reader, arbitrary_bytes_never_get_past_the_limits)
+{
+    const bool held = rc::check("any bytes", [] {
+        const auto parts = *rc::gen::container<std::vector<std::string>>(
+            rc::gen::oneOf(rc::gen::arbitrary<std::string>(),
+                           rc::gen::element<std::string>("\r\n", "\r\n\r\n", "GET / HTTP/1.1\r\n", "Host: a\r\n",
+                                                         "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n",
+                                                         "3\r\nabc\r\n", "0\r\n\r\n")));
+        RequestReader reader(RequestLimits{.headerBytes = 100, .bodyBytes = 10});
+        for (const std::string &it : parts) {
+            reader.append(it);
+            auto whole = reader.advance();
+            while (whole && *whole) {
+                RC_ASSERT(reader.take().body.size() <= 10U);
+                whole = reader.advance();
+            }
+            if (!whole) {
+                RC_ASSERT(codeNumber(whole.error().code) / 100 == 3);
+                return;
+            }
+        }
+    });
+    cr_assert(held);
+}
--- /dev/null
+++ b/tests/front/test_stop.cpp
@@ -0,0 +1,80 @@
+#include "front/running_front.h"
+
+#include "base/thread.h"
+
+#include <memory>
+#include <vector>
+
+using namespace damask;
+
+Test(stop, cuts_none_of_many_calls_in_flight)
+{
+    constexpr size_t Calls = 100;
+    RunningFront it;
+    RawCaller idle = it.caller();
+    cr_assert(idle.ask(getRequest("/")).status == 200);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (size_t n = 0; n < Calls; ++n) {
+        callers.push_back(std::make_unique<RawCaller>(it.front.port()));
+        callers.back()->send(getRequest("/hold/" + std::to_string(n)));
+    }
+    it.handler.waitForCalls(Calls + 1);
+    Thread stopper("stopper", [&] { it.front.stop(); });
+    cr_assert(idle.closedByPeer(), "an idle connection is closed before the calls have ended");
+    cr_assert(it.front.status().callsInFlight == Calls);
+    it.handler.release();
+    for (size_t n = 0; n < Calls; ++n) {
+        const RawAnswer answer = callers[n]->receive();
+        cr_assert(answer.status == 200 && answer.body == "GET /hold/" + std::to_string(n) + " ");
+        cr_assert(answer.field("Connection") == "close");
+        cr_assert(callers[n]->closedByPeer());
+        callers[n]->close();
+    }
+    idle.close();
+    stopper.join();
+    cr_assert(it.front.status().connections == 0);
+}
+
+Test(stop, leaving_closes_connections_after_their_answer_and_still_serves)
+{
+    RunningFront it;
+    RawCaller kept = it.caller();
+    cr_assert(kept.ask(getRequest("/")).field("Connection").empty());
+    it.front.leave();
+    const RawAnswer last = kept.ask(getRequest("/"));
+    cr_assert(last.status == 200 && last.field("Connection") == "close" && kept.closedByPeer());
+    RawCaller fresh = it.caller();
+    cr_assert(fresh.ask(getRequest("/")).status == 200);
+}
+
+Test(stop, a_request_half_sent_when_the_stop_begins_is_answered)
+{
+    RunningFront it;
+    RawCaller sign = it.caller();
+    cr_assert(sign.ask(getRequest("/")).status == 200);
+    RawCaller caller = it.caller();
+    const std::string request = getRequest("/late");
+    caller.send(request.substr(0, 10));
+    Thread stopper("stopper", [&] { it.front.stop(); });
+    cr_assert(sign.closedByPeer());
+    caller.send(request.substr(10));
+    cr_assert(caller.receive().body == "GET /late ");
+    caller.close();
+    sign.close();
+    stopper.join();
+}
+
+Test(stop, http_1_0_and_connection_close_are_honoured)
+{
+    RunningFront it;
+    RawCaller old = it.caller();
+    cr_assert(old.ask("GET / HTTP/1.0\r\n\r\n").status == 200);
+    cr_assert(old.closedByPeer());
+    RawCaller kept = it.caller();
+    const std::string keepAlive = "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n";
+    cr_assert(kept.ask(keepAlive).field("Connection") == "keep-alive");
+    cr_assert(kept.ask(keepAlive).status == 200);
+    RawCaller once = it.caller();
+    cr_assert(once.ask(getRequest("/", "Connection: close\r\n")).field("Connection") == "close");
+    cr_assert(once.closedByPeer());
+}
