Take a call that is overdue by one usual time as a sign of a stall; never compare with a time of zero

Cause: a slow target answers less often, so its reports come late; our own overdue call is the first sign. And while no answer was known the usual time could be zero.

--- a/src/route/pick_damask.cpp
+++ b/src/route/pick_damask.cpp
@@ -11,7 +11,8 @@
 
 constexpr double EstimateSpread = 1.0; // calls by which an estimate is usually off
 constexpr double RoomNeeded = 0.5;     // calls that an estimate must stay below the limit
-constexpr double StallTimes = 3;       // usual answer times after which a call counts as stalled
+constexpr double StallTimes = 1;       // usual answer times after which a call counts as stalled
+constexpr double StallWeight = 1;      // ms expected for each ms that a call is overdue
 constexpr double FailingWeight = 0.95; // of the share of failures in the cost
 constexpr double ClearlySlower = 1.75; // times the fleet's answer time
 constexpr double ClearlyFaster = 0.6;  // times the fleet's answer time
@@ -28,11 +29,11 @@
 double usualTime(const TargetView &view)
 {
     const double fleet = std::max(LeastTime, static_cast<double>(view.fleetTime));
-    const double ratio = static_cast<double>(view.typicalTime) / fleet;
+    const double ratio = std::max(LeastTime, static_cast<double>(view.typicalTime)) / fleet;
     if (ratio > ClearlySlower) {
         return fleet * ratio / ClearlySlower;
     }
-    return ratio < ClearlyFaster ? fleet * ratio / ClearlyFaster : fleet;
+    return ratio < ClearlyFaster ? std::max(LeastTime, fleet * ratio / ClearlyFaster) : fleet;
 }
 
 double usableSlots(const TargetView &view)
@@ -46,8 +47,8 @@
     const double slots = usableSlots(view);
     const double time = usualTime(view);
     const double queue = expectedQueue(view.estimate, slots) / slots;
-    const double stalled = std::max(0.0, view.oldestCall - view.linkDelay - StallTimes * time);
-    const double completion = time * (1 + queue) + view.linkDelay + stalled;
+    const double overdue = std::max(0.0, view.oldestCall - view.linkDelay - StallTimes * time);
+    const double completion = time * (1 + queue) + view.linkDelay + StallWeight * overdue;
     return completion / (1 - FailingWeight * static_cast<double>(view.failing));
 }
 
