--- /dev/null
+++ b/tests/config/test_intersect.cpp
@@ -0,0 +1,153 @@
+#include "config/intersect.h"
+#include "config/kind.h"
+#include "config/rule_match.h"
+
+#include <rapidcheck.h>
+
+#include <criterion/criterion.h>
+#include <cstdlib>
+#include <set>
+
+using namespace damask;
+
+namespace {
+
+constexpr auto Hosts = std::to_array<std::string_view>({"", "x", "y"});
+constexpr auto Prefixes = std::to_array<std::string_view>({"/", "/a", "/ab", "/a/b", "/c"});
+constexpr auto RequestHosts = std::to_array<std::string_view>({"x", "y", "z"});
+constexpr auto RequestPaths = std::to_array<std::string_view>({"/", "/a", "/abc", "/a/b/c", "/c", "/d"});
+
+template<class Words>
+std::string word(const Words &words)
+{
+    return std::string(words.at(*rc::gen::inRange<size_t>(0, words.size())));
+}
+
+Configuration anyConfiguration()
+{
+    Configuration out;
+    out.dataCentres = {{"d0", 1, "r"}, {"d1", 1, "r"}};
+    out.pools = {{"p0", 1, {}}, {"p1", 1, {}}};
+    for (int n = 0; n < 4; ++n) {
+        const int place = *rc::gen::inRange(0, 3);
+        if (place < 2) {
+            out.pools.at(static_cast<size_t>(place))
+                .targets.push_back({"t" + std::to_string(n), "10.0.0.1", static_cast<uint16_t>(80 + n),
+                                    "d" + std::to_string(n % 2), *rc::gen::inRange(1, 4),
+                                    *rc::gen::inRange(0, 4) == 0});
+        }
+    }
+    for (int n = 0; n < 3; ++n) {
+        if (*rc::gen::inRange(0, 4) != 0) {
+            Service service;
+            service.name = "s" + std::to_string(n);
+            service.pool = "p" + std::to_string(*rc::gen::inRange(0, 2));
+            service.queueLimit = *rc::gen::inRange(1, 100);
+            out.services.push_back(service);
+        }
+    }
+    std::set<std::string> taken;
+    for (int n = 0; n < 6; ++n) {
+        Rule rule;
+        rule.name = "r" + std::to_string(n);
+        rule.host = word(Hosts);
+        rule.prefix = word(Prefixes);
+        rule.idempotency = static_cast<Idempotency>(*rc::gen::inRange(0, 3));
+        rule.service = out.services.empty() || *rc::gen::inRange(0, 5) == 0
+                           ? ""
+                           : out.services.at(*rc::gen::inRange<size_t>(0, out.services.size())).name;
+        const int where = *rc::gen::inRange(0, 4);
+        rule.dataCentres =
+            where < 2 ? std::vector<std::string>{"d" + std::to_string(where)} : std::vector<std::string>{};
+        if (*rc::gen::inRange(0, 2) == 0 && taken.insert(rule.host + rule.prefix).second) {
+            out.rules.push_back(rule);
+        }
+    }
+    return out;
+}
+
+/// Ports that a request may reach.
+std::set<int> reached(const Configuration &configuration, std::string_view host, std::string_view path)
+{
+    std::set<int> out;
+    const Rule *rule = decidingRule(configuration.rules, host, path);
+    const Service *service = rule == nullptr ? nullptr : findNamed(configuration.services, rule->service);
+    const Pool *pool = service == nullptr ? nullptr : findNamed(configuration.pools, service->pool);
+    for (const Target &it : pool == nullptr ? std::vector<Target>() : pool->targets) {
+        const auto &places = rule->dataCentres;
+        const bool near = places.empty() || std::find(places.begin(), places.end(), it.dataCentre) != places.end();
+        if (near && !it.draining) {
+            out.insert(it.port);
+        }
+    }
+    return out;
+}
+
+bool mayRepeat(const Rule *rule, Idempotency atLeast)
+{
+    return rule != nullptr
+           && (rule->idempotency == Idempotency::Always
+               || (atLeast == Idempotency::ByMethod && rule->idempotency == atLeast));
+}
+
+} // namespace
+
+Test(intersect, requests_reach_exactly_what_both_states_allow)
+{
+    setenv("RC_PARAMS", "seed=7 max_success=1500", 0);
+    const bool held = rc::check([] {
+        const Configuration before = anyConfiguration();
+        const Configuration after = anyConfiguration();
+        const Configuration both = allowedByBoth(before, after);
+        for (const std::string_view host : RequestHosts) {
+            for (const std::string_view path : RequestPaths) {
+                const std::set<int> was = reached(before, host, path);
+                std::set<int> expected;
+                for (const int it : reached(after, host, path)) {
+                    if (was.contains(it)) {
+                        expected.insert(it);
+                    }
+                }
+                RC_ASSERT(reached(both, host, path) == expected);
+                const Rule *rule = decidingRule(both.rules, host, path);
+                for (const Idempotency it : {Idempotency::Always, Idempotency::ByMethod}) {
+                    RC_ASSERT(!mayRepeat(rule, it) || expected.empty()
+                              || (mayRepeat(decidingRule(before.rules, host, path), it)
+                                  && mayRepeat(decidingRule(after.rules, host, path), it)));
+                }
+            }
+        }
+    });
+    cr_assert(held);
+}
+
+Test(intersect, a_state_with_itself_changes_nothing_that_counts)
+{
+    setenv("RC_PARAMS", "seed=8 max_success=300", 0);
+    const bool held = rc::check([] {
+        const Configuration state = anyConfiguration();
+        const Configuration both = allowedByBoth(state, state);
+        RC_ASSERT(both.services == state.services);
+        RC_ASSERT(both.pools == state.pools);
+    });
+    cr_assert(held);
+}
+
+Test(intersect, limits_are_the_stricter_ones_and_keys_need_both)
+{
+    Configuration before;
+    before.pools = {{"p", 1, {}}};
+    before.services = {{"s", 1, "p"}};
+    Configuration after = before;
+    before.services.front().queueLimit = 10;
+    after.services.front().deadline = std::chrono::seconds(1);
+    after.services.front().hedge = true;
+    before.keys = {{"a", 1, "A", false}, {"b", 1, "B", true}};
+    after.keys = {{"a", 2, "A", true}, {"c", 1, "C", false}};
+    const Configuration both = allowedByBoth(before, after);
+    cr_assert(both.services.front().queueLimit == 10);
+    cr_assert(both.services.front().deadline == std::chrono::seconds(1));
+    cr_assert(!both.services.front().hedge);
+    cr_assert(both.keys.size() == 1);
+    cr_assert(both.keys.front().retired);
+}
