--- a/tests/config/test_intersect.cpp
+++ b/tests/config/test_intersect.cpp
@@ -1,6 +1,6 @@
 #include "config/intersect.h"
 #include "config/kind.h"
-#include "config/rule_match.h"
+#include "route/rules.h"
 
 #include <rapidcheck.h>
 
@@ -13,9 +13,9 @@
 namespace {
 
 constexpr auto Hosts = std::to_array<std::string_view>({"", "x", "y"});
-constexpr auto Prefixes = std::to_array<std::string_view>({"/", "/a", "/ab", "/a/b", "/c"});
+constexpr auto Prefixes = std::to_array<std::string_view>({"/", "/a", "/ab", "/a/b", "/a/", "/c"});
 constexpr auto RequestHosts = std::to_array<std::string_view>({"x", "y", "z"});
-constexpr auto RequestPaths = std::to_array<std::string_view>({"/", "/a", "/abc", "/a/b/c", "/c", "/d"});
+constexpr auto RequestPaths = std::to_array<std::string_view>({"/", "/a", "/abc", "/a/b/c", "/ab/c", "/c", "/d"});
 
 template<class Words>
 std::string word(const Words &words)
@@ -70,7 +70,7 @@
 std::set<int> reached(const Configuration &configuration, std::string_view host, std::string_view path)
 {
     std::set<int> out;
-    const Rule *rule = decidingRule(configuration.rules, host, path);
+    const Rule *rule = matchRule(configuration.rules, host, path);
     const Service *service = rule == nullptr ? nullptr : findNamed(configuration.services, rule->service);
     const Pool *pool = service == nullptr ? nullptr : findNamed(configuration.pools, service->pool);
     for (const Target &it : pool == nullptr ? std::vector<Target>() : pool->targets) {
@@ -109,11 +109,11 @@
                     }
                 }
                 RC_ASSERT(reached(both, host, path) == expected);
-                const Rule *rule = decidingRule(both.rules, host, path);
+                const Rule *rule = matchRule(both.rules, host, path);
                 for (const Idempotency it : {Idempotency::Always, Idempotency::ByMethod}) {
                     RC_ASSERT(!mayRepeat(rule, it) || expected.empty()
-                              || (mayRepeat(decidingRule(before.rules, host, path), it)
-                                  && mayRepeat(decidingRule(after.rules, host, path), it)));
+                              || (mayRepeat(matchRule(before.rules, host, path), it)
+                                  && mayRepeat(matchRule(after.rules, host, path), it)));
                 }
             }
         }
--- a/tests/control/fleet.cpp
+++ b/tests/control/control_fleet.cpp
@@ -1,4 +1,4 @@
-#include "fakes/fleet.h"
+#include "fakes/control_fleet.h"
 
 #include "config/kind.h"
 #include "config/rule_match.h"
@@ -50,7 +50,7 @@
 
 } // namespace
 
-Fleet::Fleet(Way way)
+ControlFleet::ControlFleet(Way way)
     : m_way(way)
     , m_desk(m_metrics, m_store.hooks(),
              {[this] { return m_now; },
@@ -73,46 +73,46 @@
     }
 }
 
-const ControlDocument &Fleet::document() const
+const ControlDocument &ControlFleet::document() const
 {
     return m_store.document.document;
 }
 
-std::vector<uint64_t> Fleet::submittedNumbers() const
+std::vector<uint64_t> ControlFleet::submittedNumbers() const
 {
     return m_numbers;
 }
 
-std::string Fleet::brokenInvariant() const
+std::string ControlFleet::brokenInvariant() const
 {
     return m_broken;
 }
 
-bool Fleet::acts(const Instance &instance) const
+bool ControlFleet::acts(const Instance &instance) const
 {
     return instance.alive && !instance.paused;
 }
 
-bool Fleet::reaches(const Instance &instance) const
+bool ControlFleet::reaches(const Instance &instance) const
 {
     return acts(instance) && !instance.cut && !m_store.down;
 }
 
-bool Fleet::listed(const Instance &instance) const
+bool ControlFleet::listed(const Instance &instance) const
 {
     const bool looksDead = !instance.alive || (instance.paused && m_now - instance.pausedAt >= PauseLooksDeadMs);
     return !looksDead && m_now - instance.startedAt >= ListLagMs;
 }
 
 /// Others wait for it: its lease is registered, or the list has had the time to show it.
-bool Fleet::known(size_t n) const
+bool ControlFleet::known(size_t n) const
 {
     const Instance &instance = m_instances.at(n);
     const Registration &entry = m_registrations.at(n);
     return (entry.incarnation == instance.incarnation && entry.leaseUntil > m_now) || listed(instance);
 }
 
-std::vector<InstanceView> Fleet::views() const
+std::vector<InstanceView> ControlFleet::views() const
 {
     std::vector<InstanceView> out;
     for (size_t n = 0; n < m_instances.size(); ++n) {
@@ -130,7 +130,7 @@
     return out;
 }
 
-std::string Fleet::ticketText(const Operator &who, uint64_t number, uint64_t value) const
+std::string ControlFleet::ticketText(const Operator &who, uint64_t number, uint64_t value) const
 {
     const std::string head =
         "[ticket]\nnumber = " + std::to_string(number) + "\noperator = o\nallow-capacity-loss = yes\n";
@@ -148,7 +148,7 @@
            + targetLines(value / 4);
 }
 
-void Fleet::submit(Operator &who, uint64_t value)
+void ControlFleet::submit(Operator &who, uint64_t value)
 {
     who.lastNumber = m_nextNumber++;
     who.lastText = ticketText(who, who.lastNumber, value);
@@ -157,7 +157,7 @@
 }
 
 /// From the store; else from a peer that may act, once others wait for this instance.
-void Fleet::read(size_t n)
+void ControlFleet::read(size_t n)
 {
     Instance &instance = m_instances.at(n);
     instance.readWhenKnown = known(n);
@@ -173,7 +173,7 @@
     }
 }
 
-void Fleet::apply(size_t n)
+void ControlFleet::apply(size_t n)
 {
     Instance &instance = m_instances.at(n);
     if (!acts(instance) || !instance.read) {
@@ -187,7 +187,7 @@
     instance.read.reset();
 }
 
-void Fleet::accept(const Instance &instance)
+void ControlFleet::accept(const Instance &instance)
 {
     if (!reaches(instance) || !document().staged) {
         return;
@@ -199,7 +199,7 @@
 }
 
 /// After a pause in which others may have passed it over, an instance has to become known and to read again.
-void Fleet::resume(Instance &instance)
+void ControlFleet::resume(Instance &instance)
 {
     if (instance.paused && m_now - instance.pausedAt >= PauseLooksDeadMs) {
         instance.mayAct = false;
@@ -209,7 +209,7 @@
     instance.paused = false;
 }
 
-void Fleet::run(const Step &step)
+void ControlFleet::run(const Step &step)
 {
     const size_t n = step.value % m_instances.size();
     Instance &instance = m_instances.at(n);
@@ -287,7 +287,7 @@
 }
 
 /// Compares the document with what is known of it from before.
-void Fleet::note()
+void ControlFleet::note()
 {
     const ControlDocument &now = document();
     const Configuration &last = m_history.back().configuration;
@@ -319,7 +319,7 @@
     }
 }
 
-size_t Fleet::actsOnForbidden(int64_t graceMs) const
+size_t ControlFleet::actsOnForbidden(int64_t graceMs) const
 {
     std::set<std::string> allowed;
     for (auto it = m_history.rbegin(); it != m_history.rend(); ++it) {
@@ -338,7 +338,7 @@
     return count;
 }
 
-void Fleet::settle()
+void ControlFleet::settle()
 {
     run({StepKind::StoreUp});
     run({StepKind::Deliver});
@@ -352,7 +352,7 @@
     everyone();
 }
 
-void Fleet::everyone()
+void ControlFleet::everyone()
 {
     for (const StepKind kind :
          {StepKind::Register, StepKind::Read, StepKind::Apply, StepKind::Register, StepKind::Accept}) {
--- a/tests/control/test_fleet.cpp
+++ b/tests/control/test_fleet.cpp
@@ -1,7 +1,7 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "control/effective.h"
-#include "fakes/fleet.h"
+#include "fakes/control_fleet.h"
 
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
@@ -63,10 +63,10 @@
     return {kindAt(n), randomBelow(random, MostValue)};
 }
 
-struct FleetStep : rc::state::Command<Oracle, Fleet> {
+struct ControlFleetStep : rc::state::Command<Oracle, ControlFleet> {
     Step step{kindAt(*rc::gen::inRange(0, totalWeight())), *rc::gen::inRange<uint64_t>(0, MostValue)};
 
-    void run(const Oracle &, Fleet &fleet) const override
+    void run(const Oracle &, ControlFleet &fleet) const override
     {
         const uint64_t before = effectiveRevision(fleet.document());
         fleet.run(step);
@@ -92,7 +92,7 @@
     Violations out;
     for (int seed = 0; seed < runs; ++seed) {
         const RandomSource random = seededRandom(static_cast<uint64_t>(seed));
-        Fleet fleet(way);
+        ControlFleet fleet(way);
         bool now = false;
         bool later = false;
         for (int n = 0; n < 300; ++n) {
@@ -115,8 +115,8 @@
     setLogLevel(Severity::Error);
     setenv("RC_PARAMS", "seed=20261204 max_success=500 max_size=200", 0);
     const bool held = rc::check("no instance acts on what an accepted ticket forbids", [] {
-        Fleet fleet(Way::StageConfirmAccept);
-        rc::state::check(Oracle(), fleet, rc::state::gen::execOneOfWithArgs<FleetStep>());
+        ControlFleet fleet(Way::StageConfirmAccept);
+        rc::state::check(Oracle(), fleet, rc::state::gen::execOneOfWithArgs<ControlFleetStep>());
     });
     cr_assert(held);
 }
@@ -142,7 +142,7 @@
     setLogLevel(Severity::Error);
     for (uint64_t seed = 0; seed < 200; ++seed) {
         const RandomSource random = seededRandom(seed);
-        Fleet fleet(Way::StageConfirmAccept);
+        ControlFleet fleet(Way::StageConfirmAccept);
         for (int n = 0; n < 200; ++n) {
             fleet.run(randomStep(random));
         }
