--- a/src/config/rule_match.cpp
+++ b/src/config/rule_match.cpp
@@ -2,9 +2,20 @@
 
 namespace damask {
 
+namespace {
+
+/// A prefix covers whole segments.
+bool covers(std::string_view prefix, std::string_view path)
+{
+    const bool starts = path.starts_with(prefix);
+    return starts && (path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/');
+}
+
+} // namespace
+
 bool ruleMatches(const Rule &rule, std::string_view host, std::string_view path)
 {
-    return (rule.host.empty() || rule.host == host) && path.starts_with(rule.prefix);
+    return (rule.host.empty() || rule.host == host) && covers(rule.prefix, path);
 }
 
 const Rule *decidingRule(std::span<const Rule> rules, std::string_view host, std::string_view path)
