--- a/scripts/lib/system.py
+++ b/scripts/lib/system.py
@@ -3,6 +3,7 @@
 import dataclasses
 import itertools
 import json
+import re
 import signal
 import subprocess
 import urllib.parse
@@ -153,19 +154,35 @@
 
     def submit(self, text, wait="20 s", instance=None):
         """Submits through damaskctl and waits until the ticket is in force; gives its exit code and words."""
-        path = self.bench.folder / f"ticket{self.ticket_number}.ini"
-        path.write_text(text)
-        token = self.bench.folder / "token"
-        token.write_text(TOKEN)
-        keeper = (instance or self.instances[0]).keeper_operate
-        done = subprocess.run([str(BIN / "damaskctl"), "ticket", "submit", str(path), f"--keeper=127.0.0.1:{keeper}",
-                               f"--token-file={token}", f"--wait={wait}"], capture_output=True, text=True, check=False)
-        if done.returncode == 0:
+        code, words = self.submit_text(text, instance or self.instances[0], wait)
+        if code == 0:
             for line in text.splitlines():
                 if line.startswith("[") and line != "[ticket]":
                     self.versions[line[1:-1]] = self.versions.get(line[1:-1], 0) + 1
+        return code, words
+
+    def submit_text(self, text, instance, wait):
+        """The same without keeping count of versions; safe from several threads."""
+        number = re.search(r"^number = (\d+)", text, re.MULTILINE).group(1)
+        path = self.bench.folder / f"ticket{number}.ini"
+        path.write_text(text)
+        token = self.bench.folder / "token"
+        token.write_text(TOKEN)
+        done = subprocess.run([str(BIN / "damaskctl"), "ticket", "submit", str(path),
+                               f"--keeper=127.0.0.1:{instance.keeper_operate}", f"--token-file={token}",
+                               f"--wait={wait}"], capture_output=True, text=True, check=False)
         return done.returncode, done.stdout + done.stderr
 
+    def refresh_versions(self):
+        """Reads the versions in force from a keeper, as an operator does before the next ticket."""
+        text = http("GET", self.instances[0].keeper_operate, "/configuration", token=TOKEN)[1]
+        header = None
+        for line in text.splitlines():
+            if line.startswith("["):
+                header = line[1:-1]
+            elif line.startswith("based-on") and header:
+                self.versions[header] = int(line.partition("=")[2])
+
     # Load
 
     def load_settings(self, spec):
