Serve a lone call on the thread that polled it

Cause: each call was handed from the poller to a worker, which cost a wake-up before the handler ran. Change: polling is a task of the worker pool; who polls a call in lets another worker poll and serves the call itself.

--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -1,6 +1,5 @@
 #include "front/state.h"
 
-#include "base/check.h"
 #include "base/log.h"
 #include "front/translate.h"
 
@@ -26,8 +25,9 @@
 
 } // namespace
 
-/// Hands the request that the reader has ready to a worker. False when it was answered here, with a refusal.
-bool FrontServer::State::startCall(const CallerPtr &it)
+/// Takes the request that the reader has ready and gives the call that serves it. None when it was answered here,
+/// with a refusal.
+WorkerPool::Task FrontServer::State::startCall(const CallerPtr &it)
 {
     WholeRequest whole = it->reader.take();
     account(*it);
@@ -45,11 +45,11 @@
                                           }});
     if (!call) {
         answerHere(*it, {}, call.error());
-        return false;
+        return nullptr;
     }
     if (!admission.enter(call->depth)) {
         answerHere(*it, call->requestId, {Code::EntryBusy, "all workers for this depth are in use"});
-        return false;
+        return nullptr;
     }
     const auto cancel = std::make_shared<CancelToken>();
     {
@@ -58,10 +58,9 @@
         it->cancel = cancel;
         events.arm(it->socket.get(), it->id, EPOLLRDHUP);
     }
-    const auto taken =
-        workers.submit([this, it, cancel, request = std::move(*call)]() mutable { serve(it, request, *cancel); });
-    DAMASK_ASSERT(taken.has_value(), "admission lets in no more calls than the pool has workers");
-    return true;
+    return [this, it, cancel, request = std::move(*call)]() mutable {
+        serve(it, request, *cancel);
+    };
 }
 
 void FrontServer::State::serve(const CallerPtr &it, CallRequest &call, CancelToken &cancel)
@@ -81,7 +80,10 @@
     admission.leave();
     it->out = std::move(answer.bytes);
     it->close = answer.close || cancel.cancelled();
-    drive(it);
+    WorkerPool::Task next = drive(it);
+    if (next) {
+        submit(std::move(next));
+    }
 }
 
 Answer FrontServer::State::answerCall(const CallRequest &call, CancelToken &cancel)
--- a/src/front/drive.cpp
+++ b/src/front/drive.cpp
@@ -13,20 +13,21 @@
 
 } // namespace
 
-void FrontServer::State::drive(const CallerPtr &it)
+WorkerPool::Task FrontServer::State::drive(const CallerPtr &it)
 {
     while (flush(it)) {
         if (it->close) {
             linger(it);
-            return;
+            return nullptr;
         }
         const auto whole = it->reader.advance();
         account(*it);
         if (!whole) {
             refuseAndClose(*it, whole.error());
         } else if (*whole) {
-            if (startCall(it)) {
-                return;
+            WorkerPool::Task call = startCall(it);
+            if (call) {
+                return call;
             }
         } else if (heldBytes > options.maxHeldBytes && !it->reader.idle()) {
             refuseAndClose(*it, {Code::EntryBusy, "too many large requests are coming in at once"});
@@ -34,9 +35,10 @@
             it->out = Continue;
         } else {
             parkForReading(it);
-            return;
+            return nullptr;
         }
     }
+    return nullptr;
 }
 
 bool FrontServer::State::flush(const CallerPtr &it)
--- a/src/front/poller.cpp
+++ b/src/front/poller.cpp
@@ -1,5 +1,6 @@
 #include "front/state.h"
 
+#include "base/check.h"
 #include "base/log.h"
 #include "front/translate.h"
 
@@ -17,19 +18,52 @@
 
 } // namespace
 
+/// Polls until a call comes in, then lets another worker poll and serves the call itself: so a call that comes alone,
+/// as most do, is not handed from thread to thread.
 void FrontServer::State::poll()
 {
     std::array<epoll_event, EventsAtOnce> buf{};
-    while (!done) {
-        const auto given = events.wait(buf);
-        wakeUps.Increment();
-        ++wakeUpCount;
-        for (const epoll_event &it : given) {
-            onEvent(it);
-        }
+    while (!done && started.empty()) {
+        pollFrom(buf);
+    }
+    if (started.empty()) {
+        return;
+    }
+    const WorkerPool::Task own = std::move(started.back());
+    started.pop_back();
+    for (WorkerPool::Task &it : started) {
+        submit(std::move(it));
+    }
+    started.clear();
+    submit([this] { poll(); });
+    own();
+}
+
+void FrontServer::State::pollFrom(std::span<epoll_event> buf)
+{
+    const auto given = events.wait(buf);
+    wakeUps.Increment();
+    ++wakeUpCount;
+    for (const epoll_event &it : given) {
+        onEvent(it);
     }
 }
 
+/// Drives a connection on; a call that this begins is served once all events at hand were handled.
+void FrontServer::State::advance(const CallerPtr &it)
+{
+    WorkerPool::Task call = drive(it);
+    if (call) {
+        started.push_back(std::move(call));
+    }
+}
+
+void FrontServer::State::submit(WorkerPool::Task task)
+{
+    const auto taken = workers.submit(std::move(task));
+    DAMASK_ASSERT(taken.has_value(), "admission lets in no more calls than the pool has workers");
+}
+
 void FrontServer::State::onEvent(const epoll_event &event)
 {
     if (event.data.u64 == EventPoll::WakeId) {
@@ -50,7 +84,7 @@
         onReadable(it);
         break;
     case Phase::Writing:
-        drive(it);
+        advance(it);
         break;
     case Phase::Lingering:
         onLingering(it);
@@ -108,7 +142,7 @@
     it->deadline = Never;
     if (phase == Phase::Reading && !it->reader.idle()) {
         refuseAndClose(*it, {Code::SlowSender, "the whole request did not come in time"});
-        drive(it);
+        advance(it);
     } else if (phase == Phase::Reading) {
         if (!hasInput(it->socket.get())) {
             linger(it);
@@ -131,7 +165,7 @@
         }
         it->reader.append(std::string_view(readBuffer.data(), got.bytes));
     }
-    drive(it);
+    advance(it);
 }
 
 void FrontServer::State::onLingering(const CallerPtr &it)
@@ -188,7 +222,7 @@
     if (open >= options.maxConnections) {
         refuseAndClose(*it, {Code::TooManyConnections, "come back later, or to another entry"});
     }
-    drive(it);
+    advance(it);
 }
 
 void FrontServer::State::closeIdle()
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -31,7 +31,7 @@
     , nextId(ListenerId + 1)
     , changed(c)
     , timer(c, [this] { events.wake(); })
-    , workers(c, {.name = "front-worker", .threads = o.admission.workers, .queueLimit = o.admission.workers})
+    , workers(c, {.name = "front-worker", .threads = o.admission.workers + 1, .queueLimit = o.admission.workers + 1})
 {
 }
 
@@ -57,7 +57,8 @@
     state.listening = true;
     const bool added = state.events.add(state.listener.get(), ListenerId, EPOLLIN);
     DAMASK_ASSERT(added, "raise the limit of open files: the listener can't be polled");
-    state.poller = Thread("front-poller", [&state] { state.poll(); });
+    state.running = true;
+    state.submit([&state] { state.poll(); });
     return {};
 }
 
@@ -69,7 +70,7 @@
 void FrontServer::stop()
 {
     State &state = *m_state;
-    if (!state.poller.running()) {
+    if (!std::exchange(state.running, false)) {
         return;
     }
     leave();
@@ -86,7 +87,6 @@
     }
     state.done = true;
     state.events.wake();
-    state.poller.join();
     state.workers.drain();
 }
 
--- a/src/front/server.h
+++ b/src/front/server.h
@@ -1,7 +1,7 @@
 /// The callers' HTTP port: whole requests in, each handed to a worker; whole answers out.
 ///
 /// Use: `FrontServer front(clock, metrics, options, handler); front.start(); ... front.leave(); front.stop();`
-/// One thread polls all connections. A connection costs no thread and no wake-up while it is idle, sends its
+/// One thread at a time polls all connections. A connection costs no thread and no wake-up while it is idle, sends its
 /// request slowly or takes its answer slowly: a worker has it only while the handler runs.
 #pragma once
 
--- a/src/front/state.h
+++ b/src/front/state.h
@@ -20,8 +20,11 @@
 struct FrontServer::State {
     State(Clock &clock, Metrics &metrics, const FrontOptions &options, CallHandler handler);
 
-    // poller.cpp: on the poller's thread
+    // poller.cpp: on the poller's thread, which is the worker that runs poll() at the moment
     void poll();
+    void pollFrom(std::span<epoll_event> buf);
+    void advance(const CallerPtr &it);
+    void submit(WorkerPool::Task task); // from any thread
     void onEvent(const epoll_event &event);
     void onWake();
     void onExpired(uint64_t id);
@@ -32,23 +35,23 @@
     void closeIdle();
 
     // drive.cpp: on the thread whose the connection is
-    void      drive(const CallerPtr &it);
-    bool      flush(const CallerPtr &it);
-    void      linger(const CallerPtr &it);
-    void      parkForReading(const CallerPtr &it);
-    bool      park(const CallerPtr &it, Phase phase, uint32_t events);
-    void      close(const CallerPtr &it);
-    TimePoint readDeadline(const CallerConnection &it) const;
-    void      setDeadline(CallerConnection &it, TimePoint deadline);
-    void      account(CallerConnection &it);
+    WorkerPool::Task drive(const CallerPtr &it); // the call to serve next, or none
+    bool             flush(const CallerPtr &it);
+    void             linger(const CallerPtr &it);
+    void             parkForReading(const CallerPtr &it);
+    bool             park(const CallerPtr &it, Phase phase, uint32_t events);
+    void             close(const CallerPtr &it);
+    TimePoint        readDeadline(const CallerConnection &it) const;
+    void             setDeadline(CallerConnection &it, TimePoint deadline);
+    void             account(CallerConnection &it);
 
     // calls.cpp: requests and answers
-    bool   startCall(const CallerPtr &it);
-    void   serve(const CallerPtr &it, CallRequest &call, CancelToken &cancel);
-    Answer answerCall(const CallRequest &call, CancelToken &cancel);
-    void   answerHere(CallerConnection &it, std::string_view requestId, const Error &error);
-    void   refuseAndClose(CallerConnection &it, const Error &error);
-    void   countRefusal(Code code);
+    WorkerPool::Task startCall(const CallerPtr &it); // none: it was answered at once
+    void             serve(const CallerPtr &it, CallRequest &call, CancelToken &cancel);
+    Answer           answerCall(const CallRequest &call, CancelToken &cancel);
+    void             answerHere(CallerConnection &it, std::string_view requestId, const Error &error);
+    void             refuseAndClose(CallerConnection &it, const Error &error);
+    void             countRefusal(Code code);
 
     CallerPtr find(uint64_t id, Phase &phase);
 
@@ -82,9 +85,11 @@
     bool                                    stopping = false;
     bool                                    listening = false;
 
+    std::vector<WorkerPool::Task> started; // the poller's: calls that the events at hand began
+    bool                          running = false;
+
     DeadlineTimer timer;
-    WorkerPool    workers;
-    Thread        poller; // last: it uses all of the above
+    WorkerPool    workers; // last: it uses all of the above
 };
 
 } // namespace damask
