Hold the dispatcher against a ledger of what truly ran

Cause: single cases do not show that promises hold whatever targets do in turn. Change: a RapidCheck model over a fake sender that fails at random points, with and without hedges (RC_PARAMS replays another); tests of hedges with tasks run by hand. A first try hung: the fake ran the timer's task before it was due, on the only thread. Conclusion: no call ran twice without proof, and none told not-run had run.

--- /dev/null
+++ b/tests/route/test_dispatcher_model.cpp
@@ -0,0 +1,186 @@
+// A model of the dispatcher over a fake sender that fails at random points, with a ledger of what truly ran.
+#include <rapidcheck.h>
+
+#include "base/log.h"
+#include "fakes/fake_back.h"
+#include "fakes/fake_beside.h"
+#include "route/dispatcher.h"
+
+#include <criterion/criterion.h>
+#include <cstdlib>
+
+using namespace damask;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *DefaultRun = "seed=20261204 max_success=300"; // RC_PARAMS replays another
+
+constexpr Duration HedgeAfter = 50ms; // as Service has it by default
+
+/// How one attempt ends, and whether the target ran the request.
+enum class Fate {
+    Answers,
+    AnswersError,
+    AnswersUnavailable,
+    RefusesByConnection,
+    RefusesBySignal,
+    LosesBeforeRun,
+    LosesAfterRun,
+    TimesOutAfterRun,
+};
+
+struct Step {
+    bool post = false;
+    int depth = 0;
+    int deadline = 100;      // ms
+    int pause = 0;           // ms before the call
+    bool cancels = false;    // the caller goes during the first attempt
+    std::vector<Fate> fates; // of its attempts, in turn
+    std::vector<int> takes;  // ms of its attempts, in turn
+};
+
+rc::Gen<Step> anyStep()
+{
+    return rc::gen::build<Step>(
+        rc::gen::set(&Step::post), rc::gen::set(&Step::depth, rc::gen::inRange(0, 3)),
+        rc::gen::set(&Step::deadline, rc::gen::inRange(1, 300)), rc::gen::set(&Step::pause, rc::gen::inRange(0, 30)),
+        rc::gen::set(&Step::cancels, rc::gen::map(rc::gen::inRange(0, 8), [](int n) { return n == 0; })),
+        rc::gen::set(&Step::fates,
+                     rc::gen::container<std::vector<Fate>>(
+                         4, rc::gen::cast<Fate>(rc::gen::inRange(0, static_cast<int>(Fate::TimesOutAfterRun) + 1)))),
+        rc::gen::set(&Step::takes, rc::gen::container<std::vector<int>>(4, rc::gen::inRange(0, 120))));
+}
+
+/// The dispatcher and the ledger it is held against.
+struct Model {
+    explicit Model(bool hedge)
+        : dispatcher(clock, metrics, {}, hooks())
+    {
+        clock.pause();
+        Configuration configuration = oneService();
+        configuration.services[0].hedge = hedge;
+        dispatcher.apply(std::make_shared<Configuration>(configuration));
+    }
+    DispatcherHooks hooks()
+    {
+        DispatcherHooks out = back.hooks([this](const Attempt &it) { return send(it); });
+        out.runBeside = beside.hook();
+        return out;
+    }
+    AttemptResult send(const Attempt &it)
+    {
+        RC_ASSERT(it.timeLeft > Duration::zero());
+        const size_t n = sent++;
+        const Fate fate = step.fates[n % step.fates.size()];
+        const Duration takes = std::min(Duration(1ms) * step.takes[n % step.takes.size()], it.timeLeft);
+        clock.advance(takes);
+        if (it.number == 1 && takes >= HedgeAfter) {
+            beside.run(); // the timer would wait if it were not due
+        }
+        if (n == 0 && step.cancels) {
+            cancel->cancel();
+        }
+        if (it.cancel->cancelled()) {
+            ++runs; // it may well have run
+            return ended(AttemptEnd::Lost, Code::Cancelled);
+        }
+        return endAs(fate);
+    }
+    AttemptResult endAs(Fate fate)
+    {
+        AttemptResult out = answered(200, std::to_string(calls));
+        switch (fate) {
+        case Fate::RefusesByConnection:
+            return ended(AttemptEnd::NotSent, Code::ConnectFailed);
+        case Fate::RefusesBySignal:
+            return ended(AttemptEnd::Refused, Code::TargetRefused);
+        case Fate::LosesBeforeRun:
+            return ended(AttemptEnd::Lost, Code::ConnectionLost);
+        case Fate::LosesAfterRun:
+            ++runs;
+            return ended(AttemptEnd::Lost, Code::ConnectionLost);
+        case Fate::TimesOutAfterRun:
+            ++runs;
+            return ended(AttemptEnd::Lost, Code::AnswerTimeout);
+        case Fate::AnswersUnavailable:
+            out.answer.headers = {{"Retry-After", "1"}};
+            out.answer.status = 503;
+            break;
+        case Fate::AnswersError:
+            out.answer.status = 500;
+            break;
+        case Fate::Answers:
+            break;
+        }
+        ++runs;
+        return out;
+    }
+    void take(const Step &next)
+    {
+        step = next;
+        sent = 0;
+        runs = 0;
+        ++calls;
+        clock.advance(Duration(1ms) * step.pause);
+        CancelToken token;
+        cancel = &token;
+        CallRequest it = request(step.post ? "POST" : "GET");
+        it.depth = step.depth;
+        it.timeLeft = Duration(1ms) * step.deadline;
+        it.arrivedAt = clock.now();
+        check(dispatcher.dispatch(it, token));
+        beside.run();
+    }
+    void check(const Answer &got)
+    {
+        allSent += sent;
+        RC_ASSERT(static_cast<size_t>(got.attempts) == sent);
+        RC_ASSERT(sent <= 3U);
+        RC_ASSERT(!step.post || runs <= 1);
+        RC_ASSERT(got.outcome != Outcome::NotRun || runs == 0);
+        RC_ASSERT(got.outcome != Outcome::Answered || runs > 0);
+        RC_ASSERT(got.outcome != Outcome::Answered || got.body == std::to_string(calls));
+        RC_ASSERT((got.code == Code::Ok) == (got.outcome == Outcome::Answered));
+        RC_ASSERT(back.reports().size() == allSent);
+        const double seconds = toSeconds(clock.now().time_since_epoch() - began.time_since_epoch());
+        RC_ASSERT(static_cast<double>(allSent) <= calls * 1.1 + 10 + seconds * 0.5 + 1);
+    }
+
+    Clock clock;
+    Metrics metrics;
+    FakeBack back;
+    FakeBeside beside;
+    Step step;
+    CancelToken *cancel = nullptr;
+    size_t sent = 0;
+    size_t allSent = 0;
+    int runs = 0;
+    int calls = 0;
+    Dispatcher dispatcher;
+    TimePoint began = clock.now();
+};
+
+bool holds(bool hedge)
+{
+    setenv("RC_PARAMS", DefaultRun, 0);
+    setLogLevel(Severity::Error);
+    return rc::check([hedge] {
+        Model model(hedge);
+        for (const Step &it : *rc::gen::container<std::vector<Step>>(anyStep())) {
+            model.take(it);
+        }
+    });
+}
+
+} // namespace
+
+Test(dispatcher_model, keeps_its_promises_whatever_the_targets_do)
+{
+    cr_assert(holds(false));
+}
+
+Test(dispatcher_model, keeps_its_promises_with_hedges)
+{
+    cr_assert(holds(true));
+}
