Weigh reports by the time they stand for, and let own waiting calls tell of others'

Change: each report counts for the time since the one before; half a call of others is assumed for each own one, with the weight that the report has lost. Tried and reverted: skipping targets at random (to break herds) and news between entries of a data centre or region every 1 to 10 ms: no gain beyond the noise.

--- a/src/route/service_learn.cpp
+++ b/src/route/service_learn.cpp
@@ -9,11 +9,14 @@
 
 namespace {
 
-constexpr size_t LeastShareIn = 3;                          // at most one target in so many is ejected
-constexpr float OverFullTimes = 1.5F;                       // the limit of calls in flight
-constexpr double FleetWeight = 0.02;                        // of one report or answer in the fleet's average
-constexpr Duration LeavingHolds = std::chrono::seconds(60); // news of leaving, unless repeated
-constexpr int FirstServerError = 500;                       // HTTP status
+constexpr size_t LeastShareIn = 3;                              // at most one target in so many is ejected
+constexpr float OverFullTimes = 1.5F;                           // the limit of calls in flight
+constexpr Duration UsualOver = std::chrono::milliseconds(500);  // time over which the usual load is averaged
+constexpr Duration FirstReport = std::chrono::milliseconds(50); // time that a target's first report counts for
+constexpr double MostShare = 0.2;                               // of one report in the usual load
+constexpr float FleetWeight = 0.02F;                            // of one report or answer in the fleet's average
+constexpr Duration LeavingHolds = std::chrono::seconds(60);     // news of leaving, unless repeated
+constexpr int FirstServerError = 500;                           // HTTP status
 
 /// Whether a target says that it has far more than it should: calls in flight must become fewer.
 bool overFull(const TargetEntry &entry, const PermitReport &report)
@@ -80,7 +83,7 @@
     const Duration own = std::max(whole - entry.linkDelay, Duration(0));
     const auto sample = static_cast<float>(toMilliseconds(own));
     m_expected.answered(whole, now);
-    m_fleetTime = m_fleetTime == 0 ? sample : m_fleetTime + static_cast<float>(FleetWeight) * (sample - m_fleetTime);
+    m_fleetTime = m_fleetTime == 0 ? sample : m_fleetTime + FleetWeight * (sample - m_fleetTime);
     entry.load.answered(own);
     entry.load.succeeded(entry.target.slots);
     const bool wasOut = entry.health.ejected();
@@ -104,9 +107,13 @@
 
 void ServiceTable::learnReport(TargetEntry &entry, const LoadReport &report, TimePoint takenAt)
 {
+    // A busy target is heard less often; each report counts for the time since the one before it.
+    const bool first = entry.load.lastReport() < 0;
+    const Duration since = first ? FirstReport : takenAt - entry.load.reportedAt();
     entry.load.reported(report, takenAt);
     entry.reportsDrain = report.draining;
-    m_usualOthers += FleetWeight * (entry.load.others() - m_usualOthers);
+    const double share = toSeconds(since) / (toSeconds(UsualOver) * static_cast<double>(m_targets.size()));
+    m_usualOthers += std::clamp(share, 0.0, MostShare) * (entry.load.others() - m_usualOthers);
     const auto it = std::find_if(m_targets.begin(), m_targets.end(), [&](const auto &n) { return n.get() == &entry; });
     remember(static_cast<size_t>(it - m_targets.begin()));
 }
--- a/src/route/target_load.cpp
+++ b/src/route/target_load.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-constexpr size_t ReservedCalls = 64;    // calls in flight held without an allocation
-constexpr float TimeWeight = 0.05F;     // of a new answer in the typical time
-constexpr double UsualWeight = 0.1;     // of a new report in the usual load
-constexpr float QueueOfSlots = 0.5F;    // calls queued at a target at most, in shares of its slots
-constexpr float RaiseOnSuccess = 0.05F; // calls by which one answer raises the limit
-constexpr float LowerOnRefusal = 0.3F;  // share of the limit that one refusal takes away
+constexpr size_t ReservedCalls = 64;     // calls in flight held without an allocation
+constexpr float TimeWeight = 0.05F;      // of a new answer in the typical time
+constexpr double OwnTellsOfOthers = 0.5; // calls of others to assume for each own call that still waits there
+constexpr float QueueOfSlots = 0.5F;     // calls queued at a target at most, in shares of its slots
+constexpr float RaiseOnSuccess = 0.05F;  // calls by which one answer raises the limit
+constexpr float LowerOnRefusal = 0.3F;   // share of the limit that one refusal takes away
 
 /// About 2^-halves, without a call of the math library; exact at 0 and falling.
 double decay(double halves)
@@ -51,7 +51,6 @@
     const auto sentBefore =
         std::count_if(m_calls.begin(), m_calls.end(), [&](const CallInFlight &n) { return n.sentAt <= takenAt; });
     m_others = std::max(0.0, static_cast<double>(report.inFlight - sentBefore));
-    m_usualOthers = m_lastReport < 0 ? m_others : m_usualOthers + UsualWeight * (m_others - m_usualOthers);
     m_lastReport = std::max(0, report.inFlight);
     m_reportedAt = takenAt;
 }
@@ -77,18 +76,17 @@
 {
     m_lastReport = -1;
     m_others = 0;
-    m_usualOthers = 0;
     m_typicalTime = 0;
     m_queueAllowed = 0;
 }
 
 double TargetLoad::estimate(TimePoint now, Duration halfLife, double usual) const
 {
-    if (m_lastReport < 0) {
-        return m_calls.size() + usual;
-    }
+    const auto own = static_cast<double>(m_calls.size());
     const double halves = toSeconds(std::max(now - m_reportedAt, Duration(0))) / toSeconds(halfLife);
-    return m_calls.size() + usual + (m_others - usual) * decay(halves);
+    const double weight = m_lastReport < 0 ? 0 : decay(halves);
+    const double assumed = usual + OwnTellsOfOthers * own;
+    return own + weight * m_others + (1 - weight) * assumed;
 }
 
 double TargetLoad::others() const
@@ -96,11 +94,6 @@
     return m_others;
 }
 
-double TargetLoad::usualOthers() const
-{
-    return m_usualOthers;
-}
-
 Duration TargetLoad::oldestCall(TimePoint now) const
 {
     return m_calls.empty() ? Duration(0) : now - m_calls.front().sentAt;
--- a/src/route/target_load.h
+++ b/src/route/target_load.h
@@ -33,7 +33,6 @@
 
     double   estimate(TimePoint now, Duration halfLife, double usual) const; // usual: others' calls on such a target
     double   others() const;                                                 // of the last report: calls not ours
-    double   usualOthers() const;                                            // of all its reports, smoothed
     Duration oldestCall(TimePoint now) const;                                // 0 when none is in flight
     float    limit(int slots) const;                                         // 1 to slots and a small queue
 
@@ -59,7 +58,6 @@
     TimePoint                 m_reportedAt{};
     int                       m_lastReport = -1;
     double                    m_others = 0;
-    double                    m_usualOthers = 0;
     float                     m_typicalTime = 0;
     float                     m_queueAllowed = 0; // calls beyond the slots; negative after refusals
 };
