--- a/src/config/ticket.cpp
+++ b/src/config/ticket.cpp
@@ -14,7 +14,6 @@
 
 constexpr std::string_view BasedOnKey = "based-on";
 constexpr std::string_view RemoveKey = "remove";
-constexpr size_t MostLineBytes = 197; // what inih takes as one line
 
 /// The length of the UTF-8 character that text starts with; 0 when it is malformed or a control character.
 size_t characterLength(std::string_view text)
@@ -54,19 +53,6 @@
     return 0;
 }
 
-/// Line 0: all lines are short enough for the INI library.
-int findLongLine(std::string_view text)
-{
-    for (int line = 1; !text.empty(); ++line) {
-        const size_t end = std::min(text.find('\n'), text.size());
-        if (end > MostLineBytes) {
-            return line;
-        }
-        text.remove_prefix(std::min(end + 1, text.size()));
-    }
-    return 0;
-}
-
 Error errorAt(std::string_view source, int line, std::string_view what)
 {
     return {Code::BadTicket, std::string(source) + ":" + std::to_string(line) + ": " + std::string(what)};
@@ -339,11 +325,6 @@
     if (badText != 0) {
         return tl::make_unexpected(errorAt(source, badText, "not plain UTF-8 text"));
     }
-    const int longLine = findLongLine(text);
-    if (longLine != 0) {
-        return tl::make_unexpected(
-            errorAt(source, longLine, "longer than " + std::to_string(MostLineBytes) + " bytes; shorten it"));
-    }
     const auto sections = readIni(text, source);
     if (!sections) {
         return fail(Code::BadTicket, sections.error().detail);
--- a/src/control/ticket_desk.cpp
+++ b/src/control/ticket_desk.cpp
@@ -168,11 +168,7 @@
 Result<TicketRecord> TicketDesk::accept(uint64_t number)
 {
     const int64_t now = m_hooks.wallClock();
-    auto answer = decide([&](const ControlDocument &document) { return decideAccept(document, number, now); });
-    if (answer && answer->state == TicketState::Accepted) {
-        logEvent(Severity::Info, "ticket-accepted", {{"number", number}, {"revision", answer->revision}});
-    }
-    return answer;
+    return decide([&](const ControlDocument &document) { return decideAccept(document, number, now); });
 }
 
 Result<std::string> TicketDesk::revertOf(uint64_t number)
--- a/src/programs/damaskctl/command_line.cpp
+++ b/src/programs/damaskctl/command_line.cpp
@@ -31,7 +31,7 @@
   damaskctl --version
 
 Options:
-  --keeper=ADDR:PORT  Operators' port of any damask-keeper [default: 127.0.0.1:7102].
+  --keeper=ADDR:PORT  Operators' port of any damask-keeper [default: 127.0.0.1:7000].
   --entry=ADDR:PORT   Operators' port of a damask-entry, for why [default: 127.0.0.1:7101].
   --token-file=FILE   File that holds the operators' token.
   --wait=INTERVAL     submit: wait until the ticket has ended, at most this long, as in 30s [default: 0s].
@@ -99,7 +99,7 @@
     const std::string_view address = text.substr(0, colon);
     if (!port || *port < 1 || *port > UINT16_MAX || !isIpNumber(address)) {
         return fail(Code::BadUsage, std::string(option) + "=" + std::string(text)
-                                        + ": needs an IP number and a port, as in 127.0.0.1:7102");
+                                        + ": needs an IP number and a port, as in 127.0.0.1:7000");
     }
     return Endpoint{std::string(address), static_cast<uint16_t>(*port)};
 }
--- a/src/settings/ini.cpp
+++ b/src/settings/ini.cpp
@@ -10,6 +10,27 @@
 
 namespace {
 
+constexpr size_t MostLineBytes = 197; // what inih takes as one line
+constexpr std::string_view Separator = " = ";
+
+std::string tooLong(int line)
+{
+    return ":" + std::to_string(line) + ": longer than " + std::to_string(MostLineBytes) + " bytes; shorten it";
+}
+
+/// The first line that inih would take as two; 0: there is none.
+int findLongLine(std::string_view text)
+{
+    for (int line = 1; !text.empty(); ++line) {
+        const size_t end = std::min(text.find('\n'), text.size());
+        if (end > MostLineBytes) {
+            return line;
+        }
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return 0;
+}
+
 /// What the callbacks of inih share.
 struct Reading {
     std::string_view rest; // text not yet read
@@ -65,7 +86,12 @@
     if (reading.sections.empty()) {
         reading.sections.push_back({.kind = "", .name = "", .line = reading.line, .entries = {}});
     }
-    reading.sections.back().entries.push_back({name, value == nullptr ? "" : value, reading.line});
+    const bool onlyComment = value == nullptr || *value == ';'; // as in `key =; comment`
+    IniEntry entry{name, onlyComment ? "" : value, reading.line};
+    if (entry.key.size() + entry.value.size() + Separator.size() > MostLineBytes) {
+        reading.opened = fail(Code::BadSettings, tooLong(reading.line)); // written out, it could not be read again
+    }
+    reading.sections.back().entries.push_back(std::move(entry));
     return 1;
 }
 
@@ -76,6 +102,10 @@
     if (text.find('\0') != std::string_view::npos) {
         return fail(Code::BadSettings, std::string(source) + ": holds a zero byte; INI is plain text");
     }
+    const int longLine = findLongLine(text);
+    if (longLine != 0) {
+        return fail(Code::BadSettings, std::string(source) + tooLong(longLine));
+    }
     Reading reading;
     reading.rest = text;
     const int ec = ini_parse_stream(readLine, &reading, handleEntry, &reading);
--- a/tests/control/test_ticket_desk.cpp
+++ b/tests/control/test_ticket_desk.cpp
@@ -1,3 +1,4 @@
+#include "control/effective.h"
 #include "control/ticket_desk.h"
 #include "fakes/fake_document_store.h"
 #include "fakes/tickets.h"
@@ -69,3 +70,194 @@
               loser->detail.c_str());
     cr_assert(loser->detail.find("~ pool listings: target b1") != std::string::npos);
 }
+
+Test(desk, a_lost_answer_is_settled_by_reading_back)
+{
+    Desk it;
+    it.store.faults = {SwapFault::AppliedLost};
+    cr_assert(it.submit(firstTicket())->state == TicketState::Staged);
+    cr_assert(it.store.writes == 1);
+    it.store.faults = {SwapFault::AppliedLost};
+    cr_assert(it.desk.accept(1)->state == TicketState::Accepted);
+    cr_assert(it.store.writes == 2);
+    cr_assert(it.store.document.document.accepted.revision == 1);
+}
+
+Test(desk, a_write_that_may_still_arrive_is_never_written_again)
+{
+    Desk it;
+    it.store.faults = {SwapFault::Delayed};
+    cr_assert(it.submit(firstTicket()).error().code == Code::StoreUnknown);
+    cr_assert(it.store.writes == 0);
+    it.store.deliver();
+    cr_assert(it.submit(firstTicket())->state == TicketState::Staged);
+    cr_assert(it.store.writes == 1);
+}
+
+Test(desk, a_write_that_never_arrives_takes_effect_once_when_sent_again)
+{
+    Desk it;
+    it.store.faults = {SwapFault::Delayed};
+    it.submit(firstTicket());
+    cr_assert(it.submit(firstTicket())->state == TicketState::Staged);
+    it.store.deliver();
+    cr_assert(it.store.writes == 1);
+    cr_assert(it.store.document.document.journal.size() == 1);
+}
+
+Test(desk, a_conflict_is_decided_again_and_a_store_that_is_down_changes_nothing)
+{
+    Desk it;
+    it.store.faults = {SwapFault::Conflict, SwapFault::Conflict};
+    cr_assert(it.submit(firstTicket())->state == TicketState::Staged);
+    cr_assert(it.metrics.text().find("damask_ticket_retries_total{code=\"StoreConflict\"} 2") != std::string::npos);
+    it.store.down = true;
+    cr_assert(it.desk.accept(1).error().code == Code::StoreUnavailable);
+    it.store.down = false;
+    cr_assert(it.desk.show(1)->record.state == TicketState::Staged);
+}
+
+Test(desk, conflicts_without_end_are_given_up)
+{
+    Desk it;
+    it.store.faults.assign(100, SwapFault::Conflict);
+    cr_assert(it.submit(firstTicket()).error().code == Code::StoreConflict);
+}
+
+Test(desk, a_malformed_ticket_is_refused_and_counted_and_keeps_its_number_free)
+{
+    Desk it;
+    cr_assert(it.submit("[ticket]\nnumber = 1\n").error().code == Code::BadTicket);
+    cr_assert(it.metrics.text().find("damask_ticket_refusals_total{code=\"BadTicket\"} 1") != std::string::npos);
+    cr_assert(it.submit(firstTicket())->state == TicketState::Staged);
+}
+
+Test(desk, a_damaged_document_is_refused_as_a_whole)
+{
+    Desk it;
+    it.accepted(firstTicket());
+    it.store.document.document.staged = StagedTicket{9, {}};
+    cr_assert(it.submit(poolTicket(2, 1, DrainB)).error().code == Code::BadConfiguration);
+    cr_assert(it.desk.list().error().code == Code::BadConfiguration);
+}
+
+Test(desk, capacity_is_lost_only_when_the_ticket_says_so)
+{
+    Desk it;
+    it.accepted(firstTicket());
+    const auto refused = it.submit(poolTicket(2, 1, DrainBoth));
+    cr_assert(refused->code == Code::TicketLosesCapacity);
+    cr_assert(refused->detail.find("write allow-capacity-loss = yes") != std::string::npos);
+    cr_assert(it.submit(poolTicket(2, 1, DrainBoth))->code == Code::TicketLosesCapacity);
+    std::string meant = poolTicket(3, 1, DrainBoth);
+    meant.insert(meant.find("operator"), "allow-capacity-loss = yes\n");
+    cr_assert(it.submit(meant)->state == TicketState::Staged);
+}
+
+Test(desk, check_tells_what_submit_would_say_and_changes_nothing)
+{
+    Desk it;
+    it.accepted(firstTicket());
+    const int writes = it.store.writes;
+    cr_assert(it.desk.check(poolTicket(2, 1, DrainB), "t")->code == Code::Ok);
+    cr_assert(it.desk.check(poolTicket(1, 1, DrainB), "t")->code == Code::TicketNumberTaken);
+    cr_assert(it.desk.check(poolTicket(2, 1, DrainBoth), "t")->code == Code::TicketLosesCapacity);
+    cr_assert(it.desk.check(poolTicket(2, 7, DrainB), "t")->code == Code::StaleTicket);
+    it.submit(poolTicket(2, 1, DrainB));
+    cr_assert(it.desk.check(poolTicket(3, 1, DrainB), "t")->code == Code::TicketBusy);
+    cr_assert(it.store.writes == writes + 1);
+}
+
+Test(desk, a_withdrawn_ticket_changes_nothing_and_never_takes_an_instance_back)
+{
+    Desk it;
+    it.accepted(firstTicket());
+    it.submit(poolTicket(2, 1, DrainB));
+    const uint64_t staged = effectiveRevision(it.store.document.document);
+    cr_assert(it.desk.withdraw(2)->state == TicketState::Withdrawn);
+    cr_assert(it.desk.withdraw(2)->state == TicketState::Withdrawn);
+    cr_assert(effectiveRevision(it.store.document.document) > staged);
+    cr_assert(it.desk.accept(2)->state == TicketState::Withdrawn);
+    cr_assert(it.desk.withdraw(1).error().code == Code::BadTicket);
+    cr_assert(it.desk.withdraw(5).error().code == Code::UnknownTicket);
+    cr_assert(it.submit(poolTicket(3, 1, DrainB))->state == TicketState::Staged);
+}
+
+Test(desk, a_number_that_is_far_off_is_a_typo)
+{
+    Desk it;
+    it.accepted(firstTicket());
+    const auto far = it.submit(poolTicket(20261204, 1, DrainB));
+    cr_assert(far.error().detail.find("allowed is up to 1001; the next free one is 2") != std::string::npos);
+}
+
+Test(desk, the_journal_is_bounded_and_a_cut_number_stays_used)
+{
+    Desk it;
+    TicketDesk small(it.metrics, it.store.hooks(), {[] { return int64_t{1}; }, {}}, {.limits = {.records = 3}});
+    small.submit(firstTicket(), "t");
+    small.accept(1);
+    for (int n = 2; n < 8; ++n) {
+        small.submit(poolTicket(n, n - 1, DrainB), "t");
+        small.accept(static_cast<uint64_t>(n));
+    }
+    cr_assert(small.list()->records.size() == 3);
+    cr_assert(small.submit(poolTicket(2, 7, DrainB), "t").error().code == Code::TicketNumberTaken);
+    cr_assert(small.show(2).error().detail.find("may be cut") != std::string::npos);
+    cr_assert(small.submit(poolTicket(8, 7, DrainB), "t")->state == TicketState::Staged);
+}
+
+Test(desk, going_back_names_what_changed_since_and_ends_when_it_is_no_longer_kept)
+{
+    Desk it;
+    it.accepted(firstTicket());
+    it.accepted(poolTicket(2, 1, DrainB));
+    it.accepted(poolTicket(3, 2, TwoTargets));
+    const std::string back = *it.desk.revertOf(2);
+    cr_assert(back.find("; Changed since by later tickets, which this takes back too: pool listings") == 0);
+    cr_assert(back.find("based-on = 3") != std::string::npos);
+    cr_assert(it.desk.revertOf(9).error().code == Code::UnknownTicket);
+    it.store.document.document.journal.front().undo.clear();
+    cr_assert(it.desk.revertOf(1).error().detail.find("no longer kept") != std::string::npos);
+}
+
+Test(effective, an_older_document_never_replaces_a_newer_one)
+{
+    Desk it;
+    it.accepted(firstTicket());
+    const ControlDocument old = it.store.document.document;
+    it.submit(poolTicket(2, 1, DrainB));
+    const ControlDocument staged = it.store.document.document;
+    cr_assert(stagedConfiguration(staged).revision == 3);
+    cr_assert(stagedConfiguration(staged).pools.front().targets.back().draining);
+    cr_assert(mayReplace(3, old).error().code == Code::OlderRevision);
+    cr_assert(mayReplace(2, staged).has_value());
+}
+
+Test(accept, everyone_who_may_act_has_to_confirm)
+{
+    Desk it;
+    it.accepted(firstTicket());
+    it.submit(poolTicket(2, 1, DrainB));
+    const ControlDocument &staged = it.store.document.document;
+    using namespace std::chrono_literals;
+    const InstanceView confirmed{.name = "e1", .confirmedRevision = 3};
+    const InstanceView behind{.name = "e2", .confirmedRevision = 2};
+    const InstanceView cut{.name = "e3", .listed = true, .leaseHeld = false, .lapsedFor = 1h};
+    const InstanceView lapsed{.name = "e4", .listed = false, .leaseHeld = false, .lapsedFor = 1s};
+    const InstanceView gone{.name = "e5", .listed = false, .leaseHeld = false, .lapsedFor = 1min};
+    const auto decide = [&](std::vector<InstanceView> views) {
+        return decideAcceptance(staged, views);
+    };
+    cr_assert(decide({confirmed}).accept);
+    cr_assert(!decide({}).accept);
+    cr_assert(!decide({gone}).accept);
+    cr_assert(decide({confirmed, gone}).accept);
+    cr_assert(decide({confirmed, gone}).passedOver.size() == 1);
+    cr_assert(!decide({confirmed, behind}).accept);
+    cr_assert(!decide({confirmed, lapsed}).accept);
+    const AcceptDecision held = decide({cut, confirmed});
+    cr_assert(!held.accept);
+    cr_assert(held.waiting.front().name == "e3");
+    cr_assert(held.waiting.front().why.find("may be cut off") != std::string::npos);
+}
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -67,3 +67,15 @@
     cr_assert(settings->change("port").error().code == Code::BadSettings);
     cr_assert(settings->number("front", "port") == 9000);
 }
+
+Test(settings, a_comment_right_after_the_equals_sign_is_no_value)
+{
+    const auto settings = Settings::load("[member]\nname = e1\npeers =;none\n", "a.ini", Specs);
+    cr_assert(settings->list("member", "peers").empty());
+}
+
+Test(settings, a_line_too_long_for_the_library_is_an_error_of_its_line)
+{
+    const std::string errors = errorsOf("[member]\nname = e1\npeers = " + std::string(200, 'a') + "\n");
+    cr_assert(errors.find("a.ini:3: longer than") != std::string::npos, "%s", errors.c_str());
+}
