Test damaskctl's waiting, exit codes and advice

Cause: what a newcomer is told when a ticket waits, is refused or may have been lost had no test. Change: damaskctl asks again at an interval given by its hooks; tests against a fake port. Conclusion: each code of tickets and of the store has advice, checked by a test.

--- a/src/programs/damaskctl/commands.cpp
+++ b/src/programs/damaskctl/commands.cpp
@@ -13,7 +13,6 @@
 using Json = nlohmann::json;
 
 constexpr int StatusOk = 200;
-constexpr Duration AskAgain = std::chrono::milliseconds(500); // while a ticket waits
 
 /// For a query of a path.
 std::string percentEncoded(std::string_view text)
@@ -253,7 +252,7 @@
 
     bool waitUntilNext(TimePoint deadline)
     {
-        const TimePoint next = m_clock.now() + AskAgain;
+        const TimePoint next = m_clock.now() + m_hooks.askAgain;
         if (next > deadline) {
             return false;
         }
--- a/src/programs/damaskctl/commands.h
+++ b/src/programs/damaskctl/commands.h
@@ -24,6 +24,7 @@
     std::function<void(std::string_view)>                print;     // to standard output
     std::function<void(std::string_view)>                complain;  // to standard error
     std::function<int64_t()>                             wallClock; // ms since 1970
+    Duration askAgain = std::chrono::milliseconds(500);             // between two asks while a ticket waits
 };
 
 /// Does it and returns the exit code.
--- /dev/null
+++ b/tests/programs/test_damaskctl.cpp
@@ -0,0 +1,159 @@
+// damaskctl's command line, waiting and exit codes, against a hand-written fake of the operators' port.
+
+#include "programs/damaskctl/advice.h"
+#include "programs/damaskctl/commands.h"
+#include "programs/damaskctl/render.h"
+#include "startup/program.h"
+
+#include <criterion/criterion.h>
+#include <deque>
+
+using namespace damask;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct FakePort {
+    Result<HttpAnswer> fetch(const HttpAsk &ask)
+    {
+        asks.push_back(ask);
+        if (answers.empty()) {
+            return fail(Code::PeerUnavailable, "nobody answers");
+        }
+        auto answer = answers.front();
+        answers.pop_front();
+        return answer;
+    }
+
+    int run(std::vector<std::string> words)
+    {
+        const auto line = parseCommandLine(words);
+        cr_assert(line.has_value(), "%s", line ? "" : line.error().detail.c_str());
+        ControlHooks hooks;
+        hooks.fetch = [this](const HttpAsk &ask) {
+            return fetch(ask);
+        };
+        hooks.readFile = [this](std::string_view path) {
+            return path == "missing" ? Result<std::string>(fail(Code::SystemError, "missing: can't be opened"))
+                                     : Result<std::string>(path == "token" ? "secret\n" : "text of the ticket");
+        };
+        hooks.print = [this](std::string_view text) {
+            out += text;
+        };
+        hooks.complain = [this](std::string_view text) {
+            errors += text;
+        };
+        hooks.wallClock = [] {
+            return int64_t{10'000};
+        };
+        hooks.askAgain = 1ns;
+        Clock clock;
+        return runCommand(clock, *line, hooks);
+    }
+
+    std::deque<Result<HttpAnswer>> answers;
+    std::vector<HttpAsk> asks;
+    std::string out;
+    std::string errors;
+};
+
+HttpAnswer ticketAnswer(std::string_view state, int code = 0)
+{
+    return {code == 0 ? 200 : 409, "{\"number\": 3, \"state\": \"" + std::string(state) + "\", \"code\": "
+                                       + std::to_string(code) + ", \"name\": \"x\", \"detail\": \"because\"}"};
+}
+
+std::string usageError(std::vector<std::string> words)
+{
+    const auto line = parseCommandLine(words);
+    return line ? "" : line.error().detail;
+}
+
+} // namespace
+
+Test(damaskctl, a_wrong_command_line_says_how_to_go_on)
+{
+    cr_assert(usageError({"ticket", "shw", "3"}).find("damaskctl --help") != std::string::npos);
+    cr_assert(usageError({"ticket", "show", "three"}).find("damaskctl ticket list") != std::string::npos);
+    cr_assert(usageError({"ticket", "show", "0"}).find("needs the number of a ticket") != std::string::npos);
+    cr_assert(usageError({"status", "--keeper=keeper:1"}).find("needs an IP number and a port") != std::string::npos);
+    cr_assert(usageError({"status", "--keeper=127.0.0.1:0"}).find("needs an IP number and a port")
+              != std::string::npos);
+    cr_assert(usageError({"ticket", "submit", "f", "--wait=3"}).find("needs a number and a unit") != std::string::npos);
+    cr_assert(!usageError({"why"}).empty());
+    cr_assert(parseCommandLine(std::vector<std::string>{"--help"})->verb == Verb::Help);
+}
+
+Test(damaskctl, submit_waits_until_the_ticket_has_ended_and_names_who_holds_it_up)
+{
+    FakePort it;
+    const HttpAnswer shown{200, R"({"state": "staged", "waiting": [{"instance": "e7", "why": "cut", "since": 1}]})"};
+    it.answers = {ticketAnswer("staged"), ticketAnswer("staged"), shown, ticketAnswer("accepted")};
+    cr_assert(it.run({"ticket", "submit", "f.ini", "--wait=10min"}) == ExitOk);
+    cr_assert(it.errors == "waiting for: e7\n");
+    cr_assert(it.out.find("accepted") != std::string::npos);
+    cr_assert(it.asks.front().path == "/tickets?source=f.ini");
+    cr_assert(it.asks.front().body == "text of the ticket");
+}
+
+Test(damaskctl, submit_tries_again_while_another_ticket_is_staged)
+{
+    FakePort it;
+    it.answers = {ticketAnswer("", 409), ticketAnswer("accepted")};
+    cr_assert(it.run({"ticket", "submit", "f", "--wait=10min"}) == ExitOk);
+    it.answers = {ticketAnswer("", 409)};
+    cr_assert(it.run({"ticket", "submit", "f"}) == ExitFailed);
+    cr_assert(it.errors.find("submit the same again once the other has ended") != std::string::npos);
+}
+
+Test(damaskctl, a_lost_answer_is_unknown_and_sending_again_is_safe)
+{
+    FakePort it;
+    it.answers = {fail(Code::StoreUnknown, "no answer"), ticketAnswer("accepted")};
+    cr_assert(it.run({"ticket", "submit", "f", "--wait=10min"}) == ExitOk);
+    cr_assert(it.asks.size() == 2 && it.asks[0].body == it.asks[1].body);
+    it.answers = {fail(Code::StoreUnknown, "no answer")};
+    cr_assert(it.run({"ticket", "submit", "f"}) == ExitOutcomeUnknown);
+    cr_assert(it.errors.find("it takes effect once") != std::string::npos);
+}
+
+Test(damaskctl, exit_codes_tell_what_happened)
+{
+    FakePort it;
+    cr_assert(it.run({"ticket", "list"}) == ExitNotReached);
+    cr_assert(it.run({"ticket", "submit", "missing"}) == ExitSettings);
+    it.answers = {ticketAnswer("staged")};
+    cr_assert(it.run({"ticket", "submit", "f"}) == ExitStillWaiting);
+    it.answers = {HttpAnswer{200, R"({"code": 404, "name": "TicketLosesCapacity", "diff": [], "effect": []})"}};
+    cr_assert(it.run({"ticket", "check", "f"}) == ExitFailed);
+    cr_assert(it.out.find("It would be refused: TicketLosesCapacity (404)") != std::string::npos);
+}
+
+Test(damaskctl, the_token_is_sent_and_why_goes_to_the_entry)
+{
+    FakePort it;
+    it.answers = {HttpAnswer{200, "{}"}};
+    cr_assert(it.run({"why", "--request=a b", "--token-file=token", "--entry=127.0.0.1:9"}) == ExitOk);
+    cr_assert(it.asks.front().token == "secret");
+    cr_assert(it.asks.front().path == "/why?request=a%20b");
+    cr_assert(it.asks.front().to.port == 9);
+}
+
+Test(damaskctl, an_answer_that_is_no_json_stops_nothing)
+{
+    FakePort it;
+    it.answers = {HttpAnswer{500, "<html>"}, HttpAnswer{200, "[1]"}, HttpAnswer{200, "\xff"}};
+    cr_assert(it.run({"ticket", "list"}) == ExitFailed);
+    cr_assert(it.run({"ticket", "show", "1"}) == ExitOk);
+    cr_assert(it.run({"ticket", "check", "f"}) == ExitOk);
+}
+
+Test(damaskctl, each_code_of_tickets_and_store_has_advice)
+{
+    for (const CodeInfo &it : codeTable()) {
+        const int hundred = codeNumber(it.code) / 100;
+        const bool store = it.code >= Code::StoreUnavailable && it.code <= Code::StoreUnknown;
+        cr_assert((hundred != 4 && !store) || !adviceFor(it.code).empty(), "%s", std::string(it.name).c_str());
+    }
+    cr_assert(renderCodes().find("402  StaleTicket") != std::string::npos);
+}
