--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -58,15 +58,25 @@
         thread = threading.Thread(target=lambda: results.update(system.load("soak", load)))
         thread.start()
         begun = time.monotonic()
+        threads = [thread]
         for at, what, action in plan:
             time.sleep(max(0.0, begun + at - time.monotonic()))
             self.note(what)
-            action()
-        thread.join()
+            # Each on its own thread: a replacement that waits must not hold up the end of a pause.
+            threads.append(threading.Thread(target=self.act, args=(what, action)))
+            threads[-1].start()
+        for it in threads:
+            it.join()
         self.calls += results["calls"]
         self.events += len(plan)
         self.check(system, results, number)
 
+    def act(self, what, action):
+        try:
+            action()
+        except RuntimeError as error:
+            self.failures.append(f"{what}: {error}")
+
     def draw_events(self, system):
         """(time, words, action) of this round; each fault ends before the calm."""
         last = self.round_seconds - CALM_SECONDS
