Count unsent answers as held bytes, raise the descriptor limit, bound the log of refusals

ThreadSanitizer reported the library's table of methods, filled on first use by whichever thread comes first: the front now uses the library once before threads share it.

--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -117,8 +117,10 @@
 void FrontServer::State::refuseAndClose(CallerConnection &it, const Error &error)
 {
     countRefusal(error.code);
-    logEvent(Severity::Info, "request-refused",
-             {{"code", codeNumber(error.code)}, {"peer", it.peer}, {"detail", error.detail}});
+    if (mayLog()) {
+        logEvent(Severity::Info, "request-refused",
+                 {{"code", codeNumber(error.code)}, {"peer", it.peer}, {"detail", error.detail}});
+    }
     Answer answer = refusal(error);
     if (answer.status == 503) {
         answer.retryAfter = options.retryAfter;
@@ -129,6 +131,13 @@
     setDeadline(it, Never);
 }
 
+/// A flood of bad requests must not become a flood of log lines.
+bool FrontServer::State::mayLog()
+{
+    LockGuard lock(logMutex);
+    return logBudget.take(1, clock.now());
+}
+
 void FrontServer::State::countRefusal(Code code)
 {
     metrics.countCode("damask_front_refusals_total", code);
--- a/src/front/drive.cpp
+++ b/src/front/drive.cpp
@@ -56,6 +56,7 @@
             if (moved || it->deadline == Never) {
                 setDeadline(*it, clock.now() + options.takeTimeout);
             }
+            account(*it);
             park(it, Phase::Writing, EPOLLOUT);
             return false;
         }
@@ -128,10 +129,10 @@
     }
 }
 
-/// Counts what the connection holds of an incomplete request.
+/// Counts what the connection holds of an incomplete request and of an answer not yet taken.
 void FrontServer::State::account(CallerConnection &it)
 {
-    const size_t now = it.reader.heldBytes();
+    const size_t now = it.reader.heldBytes() + it.out.size();
     heldBytes += now - it.heldBytes; // wraps round when it shrank, and so subtracts
     it.heldBytes = now;
 }
--- a/src/front/exchange.cpp
+++ b/src/front/exchange.cpp
@@ -93,6 +93,16 @@
     return text + "\r\n";
 }
 
+/// Where there is no answer that could be passed on.
+Answer unknownAnswer()
+{
+    Answer answer;
+    answer.status = 502;
+    answer.outcome = Outcome::Unknown;
+    answer.code = Code::BadAnswer;
+    return answer;
+}
+
 bool hasNoBody(int status)
 {
     return status == 204 || status == 304;
@@ -143,13 +153,11 @@
     static void answer(const httplib::Request &request, httplib::Response &out)
     {
         running->called = true;
+        running->fields = answerFields(unknownAnswer(), running->requestId, false); // in case the hook throws
         Answer given = running->hook(request.method, request.target);
         running->close = running->close || running->mustClose();
         if (given.status < LowestStatus || given.status > HighestStatus) {
-            given = Answer{};
-            given.status = 502;
-            given.outcome = Outcome::Unknown;
-            given.code = Code::BadAnswer;
+            given = unknownAnswer();
         }
         const bool headMethod = request.method == "HEAD";
         running->fields = answerFields(given, running->requestId, headMethod);
@@ -165,6 +173,7 @@
     : m_leaving(std::move(leaving))
     , m_library(std::make_unique<Library>())
 {
+    refuse(Answer{}); // the library fills its tables on first use: do that before threads share them
 }
 
 HttpExchange::~HttpExchange() = default;
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -3,6 +3,7 @@
 #include "front/state.h"
 
 #include "base/check.h"
+#include "base/log.h"
 
 #include <utility>
 
@@ -10,8 +11,11 @@
 
 namespace {
 
-constexpr size_t ReadBytes = 64 * 1024; // taken from a connection at once
-constexpr uint64_t ListenerId = 1;      // of the listening socket among the events
+constexpr size_t ReadBytes = 64 * 1024;   // taken from a connection at once
+constexpr size_t SpareDescriptors = 1000; // for targets, control and operators
+constexpr double LogLinesPerSecond = 5;   // on refused requests; the counters tell of all
+constexpr double LogBurst = 20;           // such lines at once
+constexpr uint64_t ListenerId = 1;        // of the listening socket among the events
 
 } // namespace
 
@@ -29,6 +33,7 @@
     , openConnections(m.gauge("damask_front_connections"))
     , readBuffer(ReadBytes)
     , nextId(ListenerId + 1)
+    , logBudget({.perSecond = LogLinesPerSecond, .burst = LogBurst}, c.now())
     , changed(c)
     , timer(c, [this] { events.wake(); })
     , workers(c, {.name = "front-worker", .threads = o.admission.workers + 1, .queueLimit = o.admission.workers + 1})
@@ -52,6 +57,13 @@
     if (!listener) {
         return tl::make_unexpected(listener.error());
     }
+    const size_t descriptors = raiseDescriptorLimit();
+    if (descriptors < state.options.maxConnections + SpareDescriptors) {
+        logEvent(Severity::Warning, "few-descriptors",
+                 {{"limit", static_cast<uint64_t>(descriptors)},
+                  {"maxConnections", static_cast<uint64_t>(state.options.maxConnections)},
+                  {"advice", "raise the limit of open files, or lower max-connections"}});
+    }
     state.port = boundPort(listener->get());
     state.listener = std::move(*listener);
     state.listening = true;
--- a/src/front/server.h
+++ b/src/front/server.h
@@ -26,7 +26,7 @@
     uint16_t         port = 0;                               // TCP; 0: any free one
     int              backlog = 1024;                         // connections that wait to be accepted
     size_t           maxConnections = 10000;                 // open at once
-    size_t           maxHeldBytes = 256 * 1024 * 1024;       // of incomplete requests, all connections together
+    size_t           maxHeldBytes = 256 * 1024 * 1024;       // of requests and answers under way, all together
     RequestLimits    limits = {};                            // of one request
     AdmissionOptions admission = {};                         // workers, and those kept for deeper calls
     Duration         sendTimeout = std::chrono::seconds(10); // for a caller to send a request
--- a/src/front/socket.cpp
+++ b/src/front/socket.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <system_error>
 
@@ -106,6 +107,16 @@
     return out;
 }
 
+size_t raiseDescriptorLimit()
+{
+    rlimit limit{};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    return limit.rlim_cur;
+}
+
 Transfer receiveInto(int fd, std::span<char> buf)
 {
     return toTransfer(::recv(fd, buf.data(), buf.size(), 0));
--- a/src/front/socket.h
+++ b/src/front/socket.h
@@ -32,6 +32,9 @@
 
 AcceptResult acceptFrom(int listener);
 
+/// Raises this process's limit of open descriptors as far as the system lets it; gives the limit now in force.
+size_t raiseDescriptorLimit();
+
 /// How a transfer that does not wait ended.
 enum class TransferEnd {
     Moved,      // some bytes were moved
--- a/src/front/state.h
+++ b/src/front/state.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/random.h"
-#include "base/thread.h"
+#include "base/token_bucket.h"
 #include "base/worker_pool.h"
 #include "front/caller_connection.h"
 #include "front/deadline_timer.h"
@@ -52,6 +52,7 @@
     void             answerHere(CallerConnection &it, std::string_view requestId, const Error &error);
     void             refuseAndClose(CallerConnection &it, const Error &error);
     void             countRefusal(Code code);
+    bool             mayLog();
 
     CallerPtr find(uint64_t id, Phase &phase);
 
@@ -76,6 +77,8 @@
     std::atomic<size_t>   heldBytes{0};
     std::atomic<uint64_t> wakeUpCount{0};
     std::atomic<uint64_t> taskCount{0};
+    RankedMutex           logMutex{LockRank::Leaf};
+    TokenBucket           logBudget; // under logMutex: lines on refused requests
     std::atomic<bool>     leaving{false};
     std::atomic<bool>     done{false};
 
--- a/src/programs/damask-entry/main.cpp
+++ b/src/programs/damask-entry/main.cpp
@@ -25,31 +25,32 @@
 Exit codes: 0 stopped gracefully, 1 a port can't be had, 2 wrong command line, 3 wrong settings.
 )";
 
-int complain(const Error &error, int exitCode)
+int complain(const Error &error)
 {
     std::cerr << "damask-entry: " << codeName(error.code) << " (" << codeNumber(error.code) << ")\n"
               << error.detail << "\n";
-    return exitCode;
+    return ExitFailed;
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    const auto program = startProgram(argc, argv, {.name = "damask-entry", .usage = Usage, .specs = entrySpecs()});
+    const auto check = [](const Settings &settings) {
+        return readEntryOptions(settings).map([](const EntryOptions &) {});
+    };
+    const auto program =
+        startProgram(argc, argv, {.name = "damask-entry", .usage = Usage, .specs = entrySpecs(), .check = check});
     if (!program.settings) {
         return program.exitCode;
     }
     const auto options = readEntryOptions(*program.settings);
-    if (!options) {
-        return complain(options.error(), ExitSettings);
-    }
     Clock clock;
     Metrics metrics;
     Entry entry(clock, metrics, *options);
     const auto started = entry.start();
     if (!started) {
-        return complain(started.error(), ExitFailed);
+        return complain(started.error());
     }
     waitForStop();
     entry.stop();
--- a/src/startup/program.cpp
+++ b/src/startup/program.cpp
@@ -93,6 +93,10 @@
     if (!changed) {
         return refuse(options, changed.error());
     }
+    const auto checked = options.check ? options.check(*settings) : Result<void>();
+    if (!checked) {
+        return refuse(options, checked.error());
+    }
     if (optionFlag(arguments, "--print-settings")) {
         std::cout << settings->print();
         return {std::nullopt, ExitOk};
--- a/src/startup/program.h
+++ b/src/startup/program.h
@@ -11,6 +11,7 @@
 
 #include "settings/settings.h"
 
+#include <functional>
 #include <optional>
 #include <span>
 #include <string>
@@ -30,6 +31,8 @@
     std::string_view             name;  // of the binary
     std::string_view             usage; // docopt text
     std::span<const SettingSpec> specs; // table of settings
+
+    std::function<Result<void>(const Settings &)> check = {}; // of settings against each other; may be empty
 };
 
 struct ProgramStart {
