--- a/scripts/lib/system.py
+++ b/scripts/lib/system.py
@@ -3,6 +3,7 @@
 import dataclasses
 import itertools
 import json
+import re
 import signal
 import subprocess
 import urllib.parse
@@ -83,9 +84,10 @@
             self.list_instance(instance)
 
     def list_instance(self, instance):
-        query = urllib.parse.urlencode({"name": instance.name, "data-centre": instance.data_centre,
-                                        "keeper": f"tcp://127.0.0.1:{instance.keeper_peer}"})
-        http("POST", self.store_port, f"/instances?{query}")
+        self.store_fault({"add": {"name": instance.name, "dataCentre": instance.data_centre,
+                                  "region": dict(self.centres)[instance.data_centre],
+                                  "keeper": f"tcp://127.0.0.1:{instance.keeper_peer}",
+                                  "entry": f"127.0.0.1:{instance.entry_port}"}})
 
     def start_targets(self, group):
         self.bench.start(f"targets-{group.name}", "damask-target", {
@@ -106,15 +108,18 @@
     def keeper_settings(self, instance, region):
         return {"instance": {"name": instance.name, "data-centre": instance.data_centre, "region": region},
                 "store": {"address": "127.0.0.1", "port": self.store_port},
-                "link": {"listen": f"tcp://127.0.0.1:{instance.keeper_link}"},
-                "peers": {"listen": f"tcp://127.0.0.1:{instance.keeper_peer}"},
+                "entry": {"listen": f"tcp://127.0.0.1:{instance.keeper_link}"},
+                "peers": {"listen": f"tcp://127.0.0.1:{instance.keeper_peer}",
+                          "seeds": " ".join(f"tcp://127.0.0.1:{it.keeper_peer}" for it in self.instances
+                                            if it is not instance)},
                 "operate": {"port": instance.keeper_operate, "token": TOKEN}}
 
     def entry_settings(self, instance):
         return {"instance": {"name": instance.name, "data-centre": instance.data_centre},
                 "front": {"port": instance.entry_port},
                 "keeper": {"endpoint": f"tcp://127.0.0.1:{instance.keeper_link}"},
-                "operate": {"port": instance.entry_operate, "token": TOKEN}}
+                "operate": {"port": instance.entry_operate, "token": TOKEN},
+                "stop": {"notice": "1 s"}}
 
     # Tickets
 
@@ -149,19 +154,35 @@
 
     def submit(self, text, wait="20 s", instance=None):
         """Submits through damaskctl and waits until the ticket is in force; gives its exit code and words."""
-        path = self.bench.folder / f"ticket{self.ticket_number}.ini"
-        path.write_text(text)
-        token = self.bench.folder / "token"
-        token.write_text(TOKEN)
-        keeper = (instance or self.instances[0]).keeper_operate
-        done = subprocess.run([str(BIN / "damaskctl"), "ticket", "submit", str(path), f"--keeper=127.0.0.1:{keeper}",
-                               f"--token-file={token}", f"--wait={wait}"], capture_output=True, text=True, check=False)
-        if done.returncode == 0:
+        code, words = self.submit_text(text, instance or self.instances[0], wait)
+        if code == 0:
             for line in text.splitlines():
                 if line.startswith("[") and line != "[ticket]":
                     self.versions[line[1:-1]] = self.versions.get(line[1:-1], 0) + 1
+        return code, words
+
+    def submit_text(self, text, instance, wait):
+        """The same without keeping count of versions; safe from several threads."""
+        number = re.search(r"^number = (\d+)", text, re.MULTILINE).group(1)
+        path = self.bench.folder / f"ticket{number}.ini"
+        path.write_text(text)
+        token = self.bench.folder / "token"
+        token.write_text(TOKEN)
+        done = subprocess.run([str(BIN / "damaskctl"), "ticket", "submit", str(path),
+                               f"--keeper=127.0.0.1:{instance.keeper_operate}", f"--token-file={token}",
+                               f"--wait={wait}"], capture_output=True, text=True, check=False)
         return done.returncode, done.stdout + done.stderr
 
+    def refresh_versions(self):
+        """Reads the versions in force from a keeper, as an operator does before the next ticket."""
+        text = http("GET", self.instances[0].keeper_operate, "/configuration", token=TOKEN)[1]
+        header = None
+        for line in text.splitlines():
+            if line.startswith("["):
+                header = line[1:-1]
+            elif line.startswith("based-on") and header:
+                self.versions[header] = int(line.partition("=")[2])
+
     # Load
 
     def load_settings(self, spec):
@@ -193,7 +214,7 @@
                     raise RuntimeError(f"fault on {name}: {text}")
 
     def store_fault(self, values):
-        status, text = http("POST", self.store_port, "/fault?" + urllib.parse.urlencode(values), "")
+        status, text = http("POST", self.store_port, "/fault", json.dumps(values))
         if status != 200:
             raise RuntimeError(f"fault on the store: {text}")
 
@@ -210,13 +231,13 @@
         if kind == "crash":
             return lambda: [http("POST", it.control_port, f"/crash?target={on}", "") for it in self.groups], None
         if kind == "store-down":
-            return lambda: self.store_fault({"down": "yes"}), lambda: self.store_fault({"down": "no"})
+            return lambda: self.store_fault({"down": True}), lambda: self.store_fault({"down": False})
         if kind == "store-slow":
-            return (lambda: self.store_fault({"slow-ms": spec.get("value", "500")}),
-                    lambda: self.store_fault({"slow-ms": "0"}))
+            return (lambda: self.store_fault({"slow-ms": float(spec.get("value", "500"))}),
+                    lambda: self.store_fault({"slow-ms": 0}))
         if kind == "store-lossy":
-            return (lambda: self.store_fault({"lose-confirmations": spec.get("value", "1")}),
-                    lambda: self.store_fault({"lose-confirmations": "0"}))
+            return (lambda: self.store_fault({"lose-confirmations": True}),
+                    lambda: self.store_fault({"lose-confirmations": False}))
         if kind == "pause":
             return (lambda: self.bench.processes[on].signal(signal.SIGSTOP),
                     lambda: self.bench.processes[on].signal(signal.SIGCONT))
--- a/src/config/rule_match.h
+++ b/src/config/rule_match.h
@@ -8,7 +8,8 @@
 
 namespace damask {
 
-/// True when the rule speaks for the host (without port, lower case) and path.
+/// True when the rule speaks for the host (without port, lower case) and path. A prefix matches whole segments:
+/// "/pay" covers "/pay" and "/pay/7", but not "/payments".
 bool ruleMatches(const Rule &rule, std::string_view host, std::string_view path);
 
 /// The rule that decides: one that names the host goes first, then the longest prefix. nullptr: none matches.
--- a/src/control/ticket_desk.cpp
+++ b/src/control/ticket_desk.cpp
@@ -26,7 +26,7 @@
 std::string join(std::span<const std::string> words)
 {
     std::string out;
-    for (const std::string &it : words) {
+    for (const auto &it : words) {
         out += (out.empty() ? "" : ", ") + it;
     }
     return out;
@@ -168,11 +168,7 @@
 Result<TicketRecord> TicketDesk::accept(uint64_t number)
 {
     const int64_t now = m_hooks.wallClock();
-    auto answer = decide([&](const ControlDocument &document) { return decideAccept(document, number, now); });
-    if (answer && answer->state == TicketState::Accepted) {
-        logEvent(Severity::Info, "ticket-accepted", {{"number", number}, {"revision", answer->revision}});
-    }
-    return answer;
+    return decide([&](const ControlDocument &document) { return decideAccept(document, number, now); });
 }
 
 Result<std::string> TicketDesk::revertOf(uint64_t number)
