--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -87,10 +87,10 @@
 };
 
 struct BalancerOptions {
-    std::string dataCentre;                                     // of this entry
-    Duration    reportHalfLife = std::chrono::milliseconds(20); // how fast a report loses weight
-    size_t      whyEvents = 4096;                               // decisions kept for `damaskctl why`
-    Duration    waitStep = std::chrono::milliseconds(2);        // a waiting call looks again at the aged estimates
+    std::string dataCentre;                              // of this entry
+    Duration    reportHalfLife{0};                       // how fast a report loses weight; 0: in the usual answer time
+    size_t      whyEvents = 4096;                        // decisions kept for `damaskctl why`
+    Duration    waitStep = std::chrono::milliseconds(2); // a waiting call looks again at the aged estimates
 };
 
 /// What varies: the policy and the random source.
--- a/src/route/service_learn.cpp
+++ b/src/route/service_learn.cpp
@@ -168,7 +168,7 @@
         n.name = it->address->name;
         n.dataCentre = it->target.dataCentre;
         n.inFlight = it->load.inFlight();
-        n.estimate = it->load.estimate(now, m_options.reportHalfLife, m_usualOthers);
+        n.estimate = it->load.estimate(now, reportHalfLife(), m_usualOthers);
         n.reportAge = reported ? now - it->load.reportedAt() : Duration(0);
         n.reported = reported;
         n.draining = draining(*it, now);
--- a/src/route/service_table.cpp
+++ b/src/route/service_table.cpp
@@ -236,6 +236,14 @@
     return nullptr;
 }
 
+Duration ServiceTable::reportHalfLife() const
+{
+    if (m_options.reportHalfLife > Duration(0)) {
+        return m_options.reportHalfLife;
+    }
+    return fromMilliseconds(std::max(LeastTime, m_fleetTime));
+}
+
 bool ServiceTable::hurry(TimePoint now) const
 {
     if (m_inFlight == 0 || m_credit > 0) {
@@ -306,7 +314,7 @@
     TargetView view;
     view.inFlight = load.inFlight();
     view.slots = entry.target.slots;
-    view.estimate = load.estimate(now, m_options.reportHalfLife, m_usualOthers);
+    view.estimate = load.estimate(now, reportHalfLife(), m_usualOthers);
     view.reportAge = reported ? static_cast<float>(toMilliseconds(now - load.reportedAt())) : view.reportAge;
     view.reported = load.lastReport();
     view.oldestCall = static_cast<float>(toMilliseconds(load.oldestCall(now)));
--- a/src/route/service_table.h
+++ b/src/route/service_table.h
@@ -83,6 +83,7 @@
     TargetView   viewOf(const TargetEntry &entry, TimePoint now) const;
     TargetEntry *trialFor(const AcquireRequest &request, TimePoint now);
     bool         hurry(TimePoint now) const;
+    Duration     reportHalfLife() const;
     void         learn(TargetEntry &entry, const Permit &permit, const PermitReport &report, TimePoint now);
     void         learnAnswer(TargetEntry &entry, const Permit &permit, TimePoint now);
     void         learnFailure(TargetEntry &entry, TimePoint now);
