Give the caller that takes nothing a small receive buffer of its own

Cause: under load test-front hung in 6 of 60 runs, always in this test: the system's buffers held the whole answer of 6 MB, so nothing was left to take and the connection rightly stayed open. Change: the caller's receive buffer is 4 KB; with the sender's most of 4 MB the answer can never fit.

--- a/tests/fakes/raw_caller.h
+++ b/tests/fakes/raw_caller.h
@@ -28,7 +28,7 @@
 class RawCaller
 {
 public:
-    explicit RawCaller(uint16_t port); // connects on loopback
+    explicit RawCaller(uint16_t port, int receiveBytes = 0); // connects on loopback; 0: the system's receive buffer
 
     void      send(std::string_view bytes);
     RawAnswer receive(bool headMethod = false); // one whole answer
@@ -61,7 +61,7 @@
     return {};
 }
 
-inline RawCaller::RawCaller(uint16_t port)
+inline RawCaller::RawCaller(uint16_t port, int receiveBytes)
     : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
     sockaddr_in where{};
@@ -70,6 +70,9 @@
     where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     const timeval limit{.tv_sec = SafetySeconds, .tv_usec = 0};
     ::setsockopt(m_socket.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    if (receiveBytes > 0) {
+        ::setsockopt(m_socket.get(), SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
+    }
     const int ec = ::connect(m_socket.get(), reinterpret_cast<sockaddr *>(&where), sizeof where);
     DAMASK_ASSERT(ec == 0, "start the front before its callers");
 }
--- a/tests/front/test_limits.cpp
+++ b/tests/front/test_limits.cpp
@@ -64,7 +64,8 @@
 {
     RunningFront it;
     it.clock.pause();
-    RawCaller caller = it.caller();
+    // With a buffer of its own choice the system may hold the whole answer, and then there is nothing left to take.
+    RawCaller caller(it.front.port(), 4096);
     const std::string body(6 * 1024 * 1024, 'x');
     caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     it.handler.waitForCalls(1);
