--- a/src/front/head.cpp
+++ b/src/front/head.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::string_view LineEnd = "\r\n";
 constexpr size_t MaxLengthDigits = 18; // of Content-Length, so that it fits
+constexpr size_t MaxFields = 256;      // of one head
+constexpr size_t MaxOptions = 32;      // of all Connection fields: each is looked up for each field
 
 constexpr std::array<std::string_view, 9> HopByHop{
     "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
@@ -116,11 +118,17 @@
         }
         if (sameHeaderName(name, "Connection")) {
             takeConnection(value);
+            if (m_named.size() > MaxOptions) {
+                return fail(Code::BadRequest, "the Connection field names too many fields");
+            }
         }
         if (sameHeaderName(name, "Host")) {
             ++m_hosts;
             head.host = lowered(withoutPort(value));
         }
+        if (head.fields.size() >= MaxFields) {
+            return fail(Code::HeaderTooLarge, "more than " + std::to_string(MaxFields) + " header fields");
+        }
         head.fields.push_back({std::string(name), std::string(value)});
         return {};
     }
--- a/src/front/request_reader.cpp
+++ b/src/front/request_reader.cpp
@@ -78,8 +78,12 @@
         if (m_bytes.size() < m_head->bodyBytes) {
             return false;
         }
-        m_body = m_bytes.substr(0, m_head->bodyBytes);
-        dropFront(m_head->bodyBytes);
+        if (m_bytes.size() == m_head->bodyBytes) {
+            m_body = std::exchange(m_bytes, {}); // the usual case: nothing read ahead, nothing copied
+        } else {
+            m_body = m_bytes.substr(0, m_head->bodyBytes);
+            dropFront(m_head->bodyBytes);
+        }
         m_head->bodyKind = BodyKind::None;
         return true;
     }
--- a/tests/front/test_reader.cpp
+++ b/tests/front/test_reader.cpp
@@ -85,6 +85,12 @@
     for (const std::string &it : bad) {
         cr_assert(codeOf(it) == Code::BadRequest, "taken: %s", it.c_str());
     }
+    std::string many;
+    for (int n = 0; n < 300; ++n) {
+        many += "a:\r\n";
+    }
+    cr_assert(codeOf(withFields(many)) == Code::HeaderTooLarge);
+    cr_assert(codeOf(withFields("Connection: " + std::string(100, ',') + "\r\n")) == Code::BadRequest);
     cr_assert(codeOf(withFields("Transfer-Encoding: chunked\r\n") + "fffffff\r\n") == Code::BodyTooLarge);
 }
 
