Skip empty lines before a request however they are cut

Cause: the fuzz target found that a carriage return and line feed before a request, cut between the two, made the request a BadRequest. Change: empty lines are dropped wherever the search stands; bytes taken are moved away once for many requests, as removing each pipelined request from the front of 64 KB cost up to a copy of all of it.

--- a/src/front/request_reader.cpp
+++ b/src/front/request_reader.cpp
@@ -20,6 +20,7 @@
 
 void RequestReader::append(std::string_view bytes)
 {
+    m_bytes.erase(0, std::exchange(m_start, 0));
     m_bytes.append(bytes);
 }
 
@@ -36,21 +37,19 @@
 
 Result<bool> RequestReader::advanceHead()
 {
-    while (m_scanned == 0 && m_bytes.starts_with("\r\n")) {
-        dropFront(2);
-    }
-    const auto end = findHeadEnd(m_bytes, m_scanned);
+    dropEmptyLines();
+    const auto end = findHeadEnd(rest(), m_scanned);
     if (!end) {
         return tl::make_unexpected(end.error());
     }
-    const size_t headBytes = end->value_or(m_bytes.size());
+    const size_t headBytes = end->value_or(rest().size());
     if (headBytes > m_limits.headerBytes) {
         return fail(Code::HeaderTooLarge, "the header is larger than " + std::to_string(m_limits.headerBytes) + " B");
     }
     if (!end->has_value()) {
         return false;
     }
-    auto head = parseHead(std::string_view(m_bytes).substr(0, headBytes));
+    auto head = parseHead(rest().substr(0, headBytes));
     if (!head) {
         return tl::make_unexpected(head.error());
     }
@@ -75,21 +74,17 @@
         return true;
     }
     if (m_head->bodyKind == BodyKind::Sized) {
-        if (m_bytes.size() < m_head->bodyBytes) {
+        if (rest().size() < m_head->bodyBytes) {
             return false;
         }
-        if (m_bytes.size() == m_head->bodyBytes) {
-            m_body = std::exchange(m_bytes, {}); // the usual case: nothing read ahead, nothing copied
-        } else {
-            m_body = m_bytes.substr(0, m_head->bodyBytes);
-            dropFront(m_head->bodyBytes);
-        }
+        m_body = rest().substr(0, m_head->bodyBytes);
+        dropFront(m_head->bodyBytes);
         m_head->bodyKind = BodyKind::None;
         return true;
     }
-    std::string_view rest = m_bytes;
-    const auto ended = m_chunks->take(rest);
-    dropFront(m_bytes.size() - rest.size());
+    std::string_view left = rest();
+    const auto ended = m_chunks->take(left);
+    dropFront(rest().size() - left.size());
     if (!ended || !*ended) {
         return ended;
     }
@@ -108,14 +103,31 @@
     return whole;
 }
 
+std::string_view RequestReader::rest() const
+{
+    return std::string_view(m_bytes).substr(m_start);
+}
+
+/// Empty lines before a request line are allowed (RFC 9112, section 2.2).
+void RequestReader::dropEmptyLines()
+{
+    size_t n = 0;
+    while (rest().substr(n).starts_with("\r\n")) {
+        n += 2;
+    }
+    if (n > 0) {
+        dropFront(n);
+    }
+}
+
 bool RequestReader::idle() const
 {
-    return !m_head && m_bytes.empty();
+    return !m_head && rest().empty();
 }
 
 size_t RequestReader::heldBytes() const
 {
-    return m_bytes.size() + m_body.size() + (m_chunks ? m_chunks->body().size() : 0);
+    return rest().size() + m_body.size() + (m_chunks ? m_chunks->body().size() : 0);
 }
 
 bool RequestReader::takeContinueDue()
@@ -125,9 +137,14 @@
 
 void RequestReader::dropFront(size_t n)
 {
-    m_bytes.erase(0, n);
+    m_start += n;
     m_scanned = 0;
-    if (m_bytes.empty() && m_bytes.capacity() > KeptCapacity) {
+    if (m_start < m_bytes.size()) {
+        return; // moved to the front by the next append(), once for many requests
+    }
+    m_start = 0;
+    m_bytes.clear();
+    if (m_bytes.capacity() > KeptCapacity) {
         std::string().swap(m_bytes);
     }
 }
--- a/src/front/request_reader.h
+++ b/src/front/request_reader.h
@@ -39,13 +39,16 @@
     bool         takeContinueDue(); // true once when the caller waits for 100 Continue
 
 private:
-    Result<bool> advanceHead();
-    Result<bool> advanceBody();
-    void         dropFront(size_t n);
+    Result<bool>     advanceHead();
+    Result<bool>     advanceBody();
+    std::string_view rest() const; // bytes not yet taken
+    void             dropEmptyLines();
+    void             dropFront(size_t n);
 
     RequestLimits                m_limits;
-    std::string                  m_bytes;       // not yet taken
-    size_t                       m_scanned = 0; // searched for the end of the head
+    std::string                  m_bytes;       // as they came
+    size_t                       m_start = 0;   // of those not yet taken
+    size_t                       m_scanned = 0; // of those not yet taken, searched for the end of the head
     std::optional<RequestHead>   m_head;
     std::optional<ChunkedReader> m_chunks;
     std::string                  m_body;
--- a/tests/front/test_reader.cpp
+++ b/tests/front/test_reader.cpp
@@ -94,6 +94,19 @@
     cr_assert(codeOf(withFields("Transfer-Encoding: chunked\r\n") + "fffffff\r\n") == Code::BodyTooLarge);
 }
 
+Test(reader, empty_lines_before_a_request_are_skipped_however_they_are_cut)
+{
+    RequestReader reader(RequestLimits{});
+    for (const std::string_view it : {"\r", "\n\r\n\r", "\nGET / HTTP/1.1\r", "\nHost: a\r\n\r", "\n"}) {
+        const auto before = reader.advance();
+        cr_assert(before.has_value() && !*before);
+        reader.append(it);
+    }
+    const auto whole = reader.advance();
+    cr_assert(whole.has_value() && *whole);
+    cr_assert(reader.take().head.line == "GET / HTTP/1.1");
+}
+
 Test(reader, requests_come_out_the_same_however_their_bytes_are_cut)
 {
     const bool held = rc::check("cut anywhere", [] {
