Show the log's type to UBSan before descriptors run out

Cause: UBSan checks an unknown object's type through a pipe, which fails without descriptors and is reported as a bad object (seen at base/log.cpp:217, in the test of exhausted descriptors only).

--- a/tests/front/test_descriptors.cpp
+++ b/tests/front/test_descriptors.cpp
@@ -1,5 +1,6 @@
 #include "front/running_front.h"
 
+#include "base/log.h"
 #include "base/scope.h"
 
 #include <fcntl.h>
@@ -35,6 +36,8 @@
 {
     RunningFront it;
     it.clock.pause();
+    // UBSan looks at an object it has not seen through a pipe, which takes descriptors: show it the log's now.
+    logEvent(Severity::Info, "test-started");
     std::vector<FileDescriptor> taken = takeAllButOne();
     RawCaller caller = it.caller();
     caller.send(getRequest("/late"));
