--- a/bench/front/main.cpp
+++ b/bench/front/main.cpp
@@ -8,10 +8,12 @@
 #include <algorithm>
 #include <cstdio>
 #include <docopt/docopt.h>
+#include <fstream>
 #include <httplib.h>
 #include <iostream>
 #include <memory>
 #include <sys/resource.h>
+#include <unistd.h>
 #include <vector>
 
 using namespace damask;
@@ -43,6 +45,7 @@
 struct RoundTrips {
     std::vector<double> p50; // us, one for each round
     std::vector<double> p99;
+    std::vector<double> cpu; // of the server's threads, us for each call
 };
 
 struct ProcessUsage {
@@ -95,31 +98,53 @@
     return *at;
 }
 
+ProcessUsage usageOf(int who)
+{
+    rusage now{};
+    ::getrusage(who, &now);
+    const auto seconds = [](const timeval &n) {
+        return static_cast<double>(n.tv_sec) + static_cast<double>(n.tv_usec) / 1e6;
+    };
+    return {seconds(now.ru_utime) + seconds(now.ru_stime), now.ru_nvcsw + now.ru_nivcsw};
+}
+
+ProcessUsage usageNow()
+{
+    return usageOf(RUSAGE_SELF);
+}
+
+/// Of all threads but this one, which plays the caller.
+double serverCpuSeconds()
+{
+    return usageNow().cpuSeconds - usageOf(RUSAGE_THREAD).cpuSeconds;
+}
+
+/// Memory of this process, in bytes.
+double residentBytes()
+{
+    long total = 0;
+    long resident = 0;
+    std::ifstream("/proc/self/statm") >> total >> resident;
+    return static_cast<double>(resident) * static_cast<double>(::sysconf(_SC_PAGESIZE));
+}
+
 void measureRound(const Clock &clock, const ServerUnderTest &server, int calls, RoundTrips &out)
 {
     RawCaller caller(server.port);
     const std::string request = getRequest("/x");
     std::vector<double> times;
+    const double cpuBefore = serverCpuSeconds();
     for (int n = 0; n < calls; ++n) {
         const TimePoint before = clock.now();
         const RawAnswer answer = caller.ask(request);
         times.push_back(toMilliseconds(clock.now() - before) * 1000);
         DAMASK_ASSERT(answer.status == 200, "the server under test refused a call");
     }
+    out.cpu.push_back((serverCpuSeconds() - cpuBefore) * 1e6 / calls);
     out.p50.push_back(quantile(times, 0.5));
     out.p99.push_back(quantile(times, 0.99));
 }
 
-ProcessUsage usageNow()
-{
-    rusage now{};
-    ::getrusage(RUSAGE_SELF, &now);
-    const auto seconds = [](const timeval &n) {
-        return static_cast<double>(n.tv_sec) + static_cast<double>(n.tv_usec) / 1e6;
-    };
-    return {seconds(now.ru_utime) + seconds(now.ru_stime), now.ru_nvcsw + now.ru_nivcsw};
-}
-
 void printFigure(std::string_view server, std::string_view figure, std::string_view unit, double value,
                  std::string_view more)
 {
@@ -138,10 +163,12 @@
 void measureIdle(Clock &clock, const ServerUnderTest &server, int connections, Duration time)
 {
     std::vector<std::unique_ptr<RawCaller>> callers;
+    const double residentBefore = residentBytes();
     for (int n = 0; n < connections; ++n) {
         callers.push_back(std::make_unique<RawCaller>(server.port));
         callers.back()->ask(getRequest("/x"));
     }
+    const double residentAfter = residentBytes();
     RankedMutex mutex{LockRank::Program};
     Condition nobody(clock);
     LockGuard lock(mutex);
@@ -151,6 +178,7 @@
     const double seconds = toSeconds(clock.now() - start);
     const ProcessUsage after = usageNow();
     const std::string label = ",\"connections\":" + std::to_string(connections);
+    printFigure(server.name, "idle_connection_bytes", "B", (residentAfter - residentBefore) / connections, label);
     printFigure(server.name, "idle_core_percent", "%", (after.cpuSeconds - before.cpuSeconds) / seconds * 100, label);
     printFigure(server.name, "idle_switches_per_s", "1/s",
                 static_cast<double>(after.switches - before.switches) / seconds, label);
@@ -183,6 +211,8 @@
         }
         printRounds("front", "round_trip_p50", oursTrips.p50);
         printRounds("front", "round_trip_p99", oursTrips.p99);
+        printRounds("front", "cpu_per_call", oursTrips.cpu);
+        printRounds("stock", "cpu_per_call", stockTrips.cpu);
         printRounds("stock", "round_trip_p50", stockTrips.p50);
         printRounds("stock", "round_trip_p99", stockTrips.p99);
     }
