Measure control against the number of keepers, and let watchers tell confirmations at once

Cause: with 15 keepers a ticket took 10.3 s, because a watcher told the other data centres only with every fifth heartbeat what its own had confirmed. Generated code is a system's header to compiler and linter.

--- a/bench/control/main.cpp
+++ b/bench/control/main.cpp
@@ -1,9 +1,10 @@
-/// bench-control: stands for many entries at once. Holds a link to each keeper named in its settings and prints a JSON
+/// bench-control: stands for many entries at once. Holds a link to each of its keepers and prints a JSON
 /// line on standard output for each configuration applied, with the wall clock's time.
 #include "base/log.h"
 #include "programs/damask-entry/keeper_link.h"
 #include "startup/program.h"
 
+#include <array>
 #include <cstdio>
 #include <memory>
 
@@ -26,7 +27,8 @@
 )";
 
 constexpr SettingSpec Specs[] = {
-    {"links", "keepers", SettingType::List, "", "NAME@ADDRESS of each keeper, e.g. entry-1@tcp://127.0.0.1:7001."},
+    {"links", "count", SettingType::Number, "1", "Entries to stand for.", 1, 1000},
+    {"links", "first-port", SettingType::Number, "7001", "TCP port of the first keeper; the others follow.", 1, 65535},
     {"links", "targets", SettingType::Number, "0", "Targets that each entry has fresh news of.", 0, 1000},
     {"links", "news", SettingType::Interval, "250 ms", "Between two messages of news.", 10, 60000},
     {"keys", "public", SettingType::Text, "", "Public key of the keepers and of the links; empty: plain."},
@@ -57,14 +59,21 @@
     return news;
 }
 
-std::unique_ptr<KeeperLink> makeLink(Clock &clock, Metrics &metrics, const Settings &settings, std::string_view entry)
+/// "entry-007": names that sort as their numbers do.
+std::string instanceName(int64_t n)
 {
-    const size_t at = entry.find('@');
-    const std::string instance(entry.substr(0, at));
+    std::array<char, 32> buf{};
+    std::snprintf(buf.data(), buf.size(), "entry-%03d", static_cast<int>(n));
+    return buf.data();
+}
+
+std::unique_ptr<KeeperLink> makeLink(Clock &clock, Metrics &metrics, const Settings &settings, int64_t n)
+{
+    const std::string instance = instanceName(n);
     const int64_t targets = settings.number("links", "targets");
     KeeperLinkOptions options;
     options.instance = instance;
-    options.keeper = at == std::string_view::npos ? std::string() : std::string(entry.substr(at + 1));
+    options.keeper = "tcp://127.0.0.1:" + std::to_string(settings.number("links", "first-port") + n);
     options.newsInterval = settings.interval("links", "news");
     options.serverKey = settings.text("keys", "public");
     options.publicKey = settings.text("keys", "public");
@@ -92,8 +101,8 @@
     Clock clock;
     Metrics metrics;
     std::vector<std::unique_ptr<KeeperLink>> links;
-    for (const std::string &it : program.settings->list("links", "keepers")) {
-        links.push_back(makeLink(clock, metrics, *program.settings, it));
+    for (int64_t n = 0; n < program.settings->number("links", "count"); ++n) {
+        links.push_back(makeLink(clock, metrics, *program.settings, n));
         links.back()->start();
     }
     waitForStop();
--- a/src/member/membership.cpp
+++ b/src/member/membership.cpp
@@ -56,15 +56,13 @@
     }
 }
 
-void Membership::hear(const MemberReport &report, TimePoint now)
+bool Membership::hear(const MemberReport &report, TimePoint now)
 {
     Entry &entry = entryOf(report.instance, now);
-    if (report.instance.incarnation < entry.instance.incarnation) {
-        return;
-    }
     const TimePoint heardAt = now - report.age;
-    if (heardAt < entry.heardAt && report.confirmed <= entry.confirmed) {
-        return;
+    const bool more = report.confirmed > entry.confirmed;
+    if (report.instance.incarnation < entry.instance.incarnation || (heardAt < entry.heardAt && !more)) {
+        return false;
     }
     const std::string address = entry.instance.entry;
     entry.instance = report.instance;
@@ -73,6 +71,7 @@
     entry.heardAt = std::max(entry.heardAt, heardAt);
     entry.confirmed = report.confirmed;
     entry.version = std::max(entry.version, report.version);
+    return more;
 }
 
 std::vector<MemberView> Membership::members(TimePoint now) const
--- a/src/member/membership.h
+++ b/src/member/membership.h
@@ -57,8 +57,8 @@
 
     void                    list(std::span<const Instance> instances, TimePoint now);   // the whole instance list
     void                    record(std::span<const Instance> instances, TimePoint now); // all records in the store
-    void                    hear(const MemberReport &report, TimePoint now);
-    std::vector<MemberView> members(TimePoint now) const; // in the order of names
+    bool                    hear(const MemberReport &report, TimePoint now); // true: it has confirmed more than before
+    std::vector<MemberView> members(TimePoint now) const;                    // in the order of names
 
 private:
     struct Entry {
--- a/src/programs/damask-keeper/member_table.cpp
+++ b/src/programs/damask-keeper/member_table.cpp
@@ -21,10 +21,10 @@
     m_membership.record(instances, m_clock.now());
 }
 
-void MemberTable::hear(const MemberReport &report)
+bool MemberTable::hear(const MemberReport &report)
 {
     LockGuard lock(m_mutex);
-    m_membership.hear(report, m_clock.now());
+    return m_membership.hear(report, m_clock.now());
 }
 
 void MemberTable::hearSelf(uint64_t confirmed, uint64_t version, bool leaving)
--- a/src/programs/damask-keeper/member_table.h
+++ b/src/programs/damask-keeper/member_table.h
@@ -21,7 +21,7 @@
 
     void                      list(std::span<const Instance> instances);
     void                      record(std::span<const Instance> instances);
-    void                      hear(const MemberReport &report);
+    bool                      hear(const MemberReport &report); // true: it has confirmed more than before
     void                      hearSelf(uint64_t confirmed, uint64_t version, bool leaving);
     std::vector<MemberView>   members() const;
     std::vector<InstanceView> views() const; // as the decision on a staged ticket wants them
--- a/src/programs/damask-keeper/peer_side.cpp
+++ b/src/programs/damask-keeper/peer_side.cpp
@@ -359,8 +359,9 @@
 {
     if (const auto *beat = std::get_if<Heartbeat>(&message.body)) {
         for (const MemberReport &it : beat->members) {
-            if (it.instance.name != m_state->options.self.name) {
-                m_state->members.hear(it);
+            const bool others = it.instance.name != m_state->options.self.name;
+            if (others && m_state->members.hear(it) && it.instance.dataCentre == m_state->options.self.dataCentre) {
+                hurry(); // a watcher tells the other data centres
             }
         }
     } else if (const auto *copy = std::get_if<DocumentCopy>(&message.body)) {
--- a/src/wire/configuration_codec.cpp
+++ b/src/wire/configuration_codec.cpp
@@ -1,4 +1,4 @@
-#include "wire/control.pb.h"
+#include "control.pb.h"
 #include "wire/convert.h"
 
 #include <algorithm>
--- a/src/wire/document_codec.cpp
+++ b/src/wire/document_codec.cpp
@@ -1,6 +1,6 @@
 #include "wire/document_codec.h"
 
-#include "wire/control.pb.h"
+#include "control.pb.h"
 #include "wire/convert.h"
 
 #include <algorithm>
--- a/src/wire/message.cpp
+++ b/src/wire/message.cpp
@@ -1,8 +1,8 @@
 #include "wire/message.h"
 
 #include "base/hash.h"
+#include "inner.pb.h"
 #include "wire/convert.h"
-#include "wire/inner.pb.h"
 
 #include <algorithm>
 
