Test lease, membership, codec, sockets, store client and keeper against their failures

Cause: the promises of control had no tests. Conclusion: store down, slow, lost confirmation, paused holder, stale key, stranger, malformed input, restart and start without the store each have a test.

--- a/src/wire/configuration_codec.cpp
+++ b/src/wire/configuration_codec.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <google/protobuf/stubs/logging.h>
 #include <limits>
 
 namespace damask {
@@ -12,6 +13,9 @@
 constexpr uint32_t MaxPort = 65535;
 constexpr double MaxRate = 1e12; // bytes or probes a second
 
+/// The library's own lines on stderr are no JSON; what is malformed is logged by who decodes it.
+const auto quietLibrary = google::protobuf::SetLogHandler(nullptr);
+
 /// Collects the first failure, so that reading a message is one line a field.
 struct FieldReader {
     Error error;
--- a/standins/damask-store/service.cpp
+++ b/standins/damask-store/service.cpp
@@ -115,6 +115,7 @@
     std::map<std::string, uint64_t, std::less<>> callCount; // by kind; guarded by mutex
     int watches = 0;                                        // open now; guarded by mutex
     bool stopping = false;                                  // guarded by mutex
+    bool listenEnded = true;                                // guarded by mutex
 
     State(Clock &clockIn, const ServiceOptions &optionsIn)
         : clock(clockIn)
@@ -426,6 +427,28 @@
         });
     }
 
+    void listen()
+    {
+        server.listen_after_bind();
+        LockGuard lock(mutex);
+        listenEnded = true;
+        wake.notifyAll();
+    }
+
+    /// The library forgets a stop that comes before its loop has begun, so it is asked again until the loop has ended.
+    void stopListening()
+    {
+        constexpr Duration Step = std::chrono::milliseconds(5);
+        while (true) {
+            server.stop();
+            LockGuard lock(mutex);
+            if (listenEnded) {
+                return;
+            }
+            wake.waitUntil(lock, clock.now() + Step);
+        }
+    }
+
     void wakeExpiry()
     {
         LockGuard lock(mutex);
@@ -473,7 +496,8 @@
     if (state.boundPort < 0) {
         return fail(Code::SystemError, "can't listen on " + address);
     }
-    state.listening = Thread("store-listen", [&state] { state.server.listen_after_bind(); });
+    state.listenEnded = false;
+    state.listening = Thread("store-listen", [&state] { state.listen(); });
     state.expiring = Thread("store-expire", [&state] { state.expire(); });
     return {};
 }
@@ -487,9 +511,7 @@
         state.wake.notifyAll();
     }
     state.keys.wakeAll();
-    if (state.listening.running()) {
-        state.server.stop();
-    }
+    state.stopListening();
     state.listening.join();
     state.expiring.join();
 }
--- /dev/null
+++ b/tests/programs/test_keeper.cpp
@@ -0,0 +1,200 @@
+#include "damask-store/service.h"
+#include "fakes/eventually.h"
+#include "fakes/tickets.h"
+#include "programs/damask-entry/keeper_link.h"
+#include "programs/damask-keeper/keeper.h"
+
+#include <atomic>
+#include <criterion/criterion.h>
+
+using namespace damask;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int SlotPorts = 2; // key slots a and b
+
+/// An entry's end of the link, which notes what it was told to use.
+struct Entry {
+    Metrics metrics;
+    std::atomic<uint64_t> revision{0};
+    std::atomic<bool> reverted{false};
+    KeeperLink link;
+
+    Entry(Clock &clock, std::string_view keeper, const KeyPair &keys)
+        : link(clock, metrics,
+               {.keeper = std::string(keeper),
+                .instance = "entry",
+                .newsInterval = 20ms,
+                .serverKey = keys.publicKey,
+                .publicKey = keys.publicKey,
+                .secretKey = keys.secretKey},
+               {.apply =
+                    [this](const std::shared_ptr<const Configuration> &next) {
+                        reverted = reverted || next->revision < revision;
+                        revision = next->revision;
+                    },
+                .absorb = [](std::span<const LoadNews>) {},
+                .ownNews =
+                    [] {
+                        return std::vector<LoadNews>();
+                    }})
+    {
+        link.start();
+    }
+};
+
+/// The platform and some keepers in one process, with keys.
+struct Fleet {
+    Clock clock;
+    KeyPair keys = *makeKeyPair();
+    standin::Service service{clock, {.port = 0, .threads = 64, .progress = 200ms}};
+    std::vector<std::unique_ptr<Metrics>> metrics;
+    std::vector<std::unique_ptr<Keeper>> keepers;
+    std::vector<std::string> seeds;
+    uint64_t incarnation = 100;
+
+    Fleet()
+    {
+        cr_assert(service.start().has_value());
+    }
+
+    KeeperOptions options(std::string_view name)
+    {
+        KeeperOptions out;
+        out.self.name = name;
+        out.self.dataCentre = "dc-1";
+        out.self.incarnation = ++incarnation;
+        out.entryListen = "tcp://127.0.0.1:*";
+        out.peerListen = "tcp://127.0.0.1:*";
+        out.slotA = keys;
+        out.seeds = seeds;
+        out.store = {.port = service.port(), .connectTimeout = 2s, .callTimeout = 2s, .watchSilence = 2s};
+        out.tick = 20ms;
+        out.heartbeat = 100ms;
+        out.leastPoll = 200ms;
+        return out;
+    }
+
+    Keeper &add(std::string_view name)
+    {
+        metrics.push_back(std::make_unique<Metrics>());
+        keepers.push_back(std::make_unique<Keeper>(clock, *metrics.back(), options(name)));
+        Keeper &keeper = *keepers.back();
+        cr_assert(keeper.start().has_value());
+        seeds.push_back(keeper.peerAddress());
+        list(name, keeper.peerAddress());
+        return keeper;
+    }
+
+    void list(std::string_view name, std::string_view address)
+    {
+        Instance instance;
+        instance.name = name;
+        instance.dataCentre = "dc-1";
+        instance.keeper = address;
+        service.instances().add(instance);
+    }
+
+    /// Submits the first ticket and waits until the entry has what it says.
+    void configure(Keeper &keeper, const Entry &entry)
+    {
+        cr_assert(eventually([&] { return keeper.ready(); }));
+        const auto record = keeper.desk().submit(fakes::firstTicket(), "t.ini");
+        cr_assert(record.has_value(), "%s", record ? "" : record.error().detail.c_str());
+        cr_assert(eventually([&] { return entry.revision == 2; }));
+    }
+};
+
+} // namespace
+
+Test(keeper, a_ticket_comes_into_force_and_stays_while_the_store_is_down)
+{
+    Fleet fleet;
+    Keeper &keeper = fleet.add("a");
+    {
+        const Entry entry(fleet.clock, keeper.entryAddress(), fleet.keys);
+        fleet.configure(keeper, entry);
+        fleet.service.setFaults({.down = true});
+    }
+    const Entry restarted(fleet.clock, keeper.entryAddress(), fleet.keys);
+    cr_assert(eventually([&] { return restarted.revision == 2; }), "from the keeper's memory");
+}
+
+Test(keeper, a_lost_confirmation_of_the_acceptance_is_settled_by_reading_back)
+{
+    Fleet fleet;
+    Keeper &keeper = fleet.add("a");
+    const Entry entry(fleet.clock, keeper.entryAddress(), fleet.keys);
+    cr_assert(eventually([&] { return keeper.ready(); }));
+    fleet.service.setFaults({.loseConfirmations = true});
+    (void)keeper.desk().submit(fakes::firstTicket(), "t.ini");
+    cr_assert(eventually([&] { return entry.revision >= 1; }));
+    fleet.service.setFaults({});
+    cr_assert(eventually([&] { return entry.revision == 2; }));
+    cr_assert(!entry.reverted);
+    const auto again = keeper.desk().submit(fakes::firstTicket(), "t.ini");
+    cr_assert(again.has_value() && again->state == TicketState::Accepted && again->revision == 1);
+}
+
+Test(keeper, an_instance_that_starts_while_the_store_is_down_asks_its_peers)
+{
+    Fleet fleet;
+    Keeper &first = fleet.add("a");
+    const Entry entry(fleet.clock, first.entryAddress(), fleet.keys);
+    fleet.configure(first, entry);
+    fleet.service.setFaults({.down = true});
+    Keeper &late = fleet.add("b");
+    const Entry other(fleet.clock, late.entryAddress(), fleet.keys);
+    cr_assert(eventually([&] { return other.revision == 2; }));
+}
+
+Test(keeper, a_restarted_keeper_takes_nothing_back_from_its_entry)
+{
+    Fleet fleet;
+    Keeper &keeper = fleet.add("a");
+    const auto port = keeper.entryAddress();
+    const Entry entry(fleet.clock, port, fleet.keys);
+    fleet.configure(keeper, entry);
+    keeper.stop();
+    KeeperOptions options = fleet.options("a");
+    options.entryListen = port;
+    fleet.keepers.clear();
+    Metrics metrics;
+    Keeper restarted(fleet.clock, metrics, options);
+    cr_assert(eventually([&] { return restarted.start().has_value(); }), "the old one lets go of the port");
+    cr_assert(eventually([&] { return restarted.statusJson().find("\"confirmed\": 2") != std::string::npos; }));
+    cr_assert(!entry.reverted);
+}
+
+Test(keeper, a_store_put_back_to_an_older_state_is_refused)
+{
+    Fleet fleet;
+    Keeper &keeper = fleet.add("a");
+    const Entry entry(fleet.clock, keeper.entryAddress(), fleet.keys);
+    fleet.configure(keeper, entry);
+    const std::string old;
+    const standin::Put put{"/damask/document", "\x08\x01", 0}; // a valid document of revision 0
+    cr_assert(fleet.service.keys().txn({}, std::span(&put, 1))->succeeded);
+    const auto refused = [&] {
+        return fleet.metrics.front()->text().find("damask_keeper_document_refusals_total{code=\"OlderRevision\"}")
+               != std::string::npos;
+    };
+    cr_assert(eventually(refused));
+    cr_assert(entry.revision == 2 && !entry.reverted);
+}
+
+Test(keeper, a_ticket_waits_for_an_instance_that_is_listed_and_does_not_confirm)
+{
+    Fleet fleet;
+    Keeper &keeper = fleet.add("a");
+    const Entry entry(fleet.clock, keeper.entryAddress(), fleet.keys);
+    fleet.list("cut-off", "tcp://127.0.0.1:1");
+    cr_assert(eventually([&] { return keeper.statusJson().find("cut-off") != std::string::npos; }));
+    const auto record = keeper.desk().submit(fakes::firstTicket(), "t.ini");
+    cr_assert(eventually([&] { return entry.revision == 1; }), "what both states allow");
+    const auto view = keeper.desk().show(record->number);
+    cr_assert(view->confirmation.waiting.size() >= 1);
+    fleet.service.instances().remove("cut-off");
+    cr_assert(eventually([&] { return entry.revision == 2; }));
+}
--- /dev/null
+++ b/tests/store/test_client.cpp
@@ -0,0 +1,175 @@
+#include "damask-store/service.h"
+#include "fakes/eventually.h"
+#include "store/base64.h"
+#include "store/client.h"
+#include "store/document_watch.h"
+#include "store/instance_list.h"
+#include "wire/document_codec.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace damask;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The stand-in in this process and a client of it.
+struct Platform {
+    Clock clock;
+    Metrics metrics;
+    standin::Service service{clock, {.port = 0, .threads = 16, .progress = 200ms}};
+    StoreClient client{clock, metrics, (start(), options(service.port()))};
+
+    void start()
+    {
+        cr_assert(service.start().has_value());
+    }
+    static StoreOptions options(uint16_t port)
+    {
+        return {.port = port, .connectTimeout = 2s, .callTimeout = 2s, .watchSilence = 2s};
+    }
+};
+
+} // namespace
+
+Test(client, a_swap_takes_effect_once_and_conflicts_with_a_stale_version)
+{
+    Platform it;
+    const auto first = it.client.swap({.key = "k", .value = "one", .version = 0});
+    cr_assert(first.has_value());
+    cr_assert(it.client.swap({.key = "k", .value = "two", .version = 0}).error().code == Code::StoreConflict);
+    const auto second = it.client.swap({.key = "k", .value = "two", .version = *first});
+    cr_assert(second.has_value() && *second > *first);
+    const auto held = it.client.get("k");
+    cr_assert(held->value == "two" && held->version == *second);
+    cr_assert(it.client.get("other").error().code == Code::NotFound);
+}
+
+Test(client, a_write_whose_answer_is_lost_is_unknown_and_may_have_happened)
+{
+    Platform it;
+    it.service.setFaults({.loseConfirmations = true});
+    cr_assert(it.client.swap({.key = "k", .value = "one", .version = 0}).error().code == Code::StoreUnknown);
+    it.service.setFaults({});
+    cr_assert(it.client.get("k")->value == "one");
+}
+
+Test(client, nothing_sent_is_told_apart_from_unknown)
+{
+    Clock clock;
+    Metrics metrics;
+    uint16_t freePort = 0;
+    {
+        const Platform closed;
+        freePort = closed.service.port();
+    }
+    StoreClient client(clock, metrics, Platform::options(freePort));
+    cr_assert(client.swap({.key = "k", .value = "one", .version = 0}).error().code == Code::StoreUnavailable);
+    cr_assert(!client.reachable());
+}
+
+Test(client, a_store_that_is_down_or_too_slow_is_unavailable_for_reads)
+{
+    Platform it;
+    it.service.setFaults({.down = true});
+    cr_assert(it.client.get("k").error().code == Code::StoreUnavailable);
+    it.service.setFaults({.slow = 10min});
+    StoreOptions hasty = Platform::options(it.service.port());
+    hasty.callTimeout = 100ms;
+    StoreClient client(it.clock, it.metrics, hasty);
+    cr_assert(client.get("k").error().code == Code::StoreUnavailable);
+    cr_assert(client.swap({.key = "k", .value = "one"}).error().code == Code::StoreUnknown);
+    it.service.setFaults({});
+}
+
+Test(client, a_value_over_the_limit_is_not_sent)
+{
+    Platform it;
+    const std::string large(1000 * 1000 + 1, 'x');
+    cr_assert(it.client.swap({.key = "k", .value = large}).error().code == Code::StoreTooLarge);
+    cr_assert(it.service.calls("txn") == 0);
+    cr_assert(it.client.swap({.key = "k", .value = large.substr(1)}).has_value(), "a megabyte fits");
+}
+
+Test(client, a_write_behind_a_fence_fails_when_the_lease_is_gone)
+{
+    Platform it;
+    const auto lease = it.client.grantLease(10s);
+    const auto duty = it.client.put("duty", "me", *lease);
+    cr_assert(duty.has_value());
+    const StoreFence fence{"duty", *duty};
+    const auto first = it.client.swap({.key = "k", .value = "one", .version = 0, .fence = fence});
+    cr_assert(first.has_value());
+    cr_assert(it.client.revokeLease(*lease).has_value());
+    cr_assert(it.client.swap({.key = "k", .value = "two", .version = *first, .fence = fence}).error().code
+              == Code::StoreConflict);
+    cr_assert(it.client.keepLease(*lease).error().code == Code::LeaseLapsed);
+    cr_assert(it.client.get("k")->value == "one");
+}
+
+Test(client, records_of_instances_are_written_listed_and_removed)
+{
+    Platform it;
+    Instance one;
+    one.name = "entry-1";
+    one.dataCentre = "dc \"1\"";
+    one.incarnation = 1796382613394;
+    cr_assert(writeRecord(it.client, one).has_value());
+    cr_assert(it.client.put(std::string(MembersPrefix) + "bad", "no json").has_value());
+    const auto records = fetchRecords(it.client);
+    cr_assert(records->size() == 1 && records->front() == one, "a bad record is left out");
+    cr_assert(removeRecord(it.client, "entry-1").has_value());
+    cr_assert(fetchRecords(it.client)->empty());
+    it.service.instances().add(one);
+    cr_assert(fetchInstances(it.client)->front() == one);
+    cr_assert(parseInstances("{\"instances\":[{\"name\":7}]}").error().code == Code::StoreBadValue);
+}
+
+Test(document_watch, shows_each_good_document_and_no_bad_one_across_an_outage)
+{
+    Platform it;
+    RankedMutex mutex{LockRank::Leaf};
+    uint64_t revision = 0; // seen last; guarded by mutex
+    DocumentWatch watch(it.clock, it.metrics, it.client, {.encode = encodeDocument, .decode = decodeDocument},
+                        {.changed =
+                             [&](const VersionedDocument &document, std::string_view) {
+                                 LockGuard lock(mutex);
+                                 revision = document.document.accepted.revision;
+                             }},
+                        {.least = 10ms, .most = 50ms});
+    const auto seen = [&](uint64_t wanted) {
+        return eventually([&] {
+            LockGuard lock(mutex);
+            return revision == wanted;
+        });
+    };
+    const auto write = [&](uint64_t wanted) {
+        ControlDocument document;
+        document.accepted.revision = wanted;
+        cr_assert(it.client.put(DocumentKey, encodeDocument(document)).has_value());
+    };
+    write(1);
+    watch.start();
+    cr_assert(seen(1));
+    write(2);
+    cr_assert(seen(2));
+    cr_assert(it.client.put(DocumentKey, "\xff not a document").has_value());
+    it.service.setFaults({.down = true});
+    it.service.setFaults({});
+    write(3);
+    cr_assert(seen(3));
+    watch.stop();
+    cr_assert(it.metrics.text().find("damask_store_bad_values_total") != std::string::npos);
+}
+
+Test(base64, all_lengths_come_back_and_other_characters_are_refused)
+{
+    std::string bytes;
+    for (int n = 0; n < 300; ++n) {
+        cr_assert(*fromBase64(toBase64(bytes)) == bytes);
+        bytes += static_cast<char>(n);
+    }
+    cr_assert(!fromBase64("abc"));
+    cr_assert(!fromBase64("ab*="));
+}
--- /dev/null
+++ b/tests/wire/test_codec.cpp
@@ -0,0 +1,132 @@
+#include <rapidcheck.h>
+
+#include "base/hash.h"
+#include "wire/document_codec.h"
+#include "wire/message.h"
+
+#include <criterion/criterion.h>
+
+using namespace damask;
+
+namespace {
+
+std::string nameOf(int n)
+{
+    return "n" + std::to_string(100000 + n);
+}
+
+Configuration someConfiguration(uint64_t revision)
+{
+    Configuration out;
+    out.revision = revision;
+    const int services = *rc::gen::inRange(0, 5);
+    for (int n = 0; n < services; ++n) {
+        Service service;
+        service.name = nameOf(n);
+        service.version = *rc::gen::arbitrary<uint64_t>();
+        service.pool = nameOf(n);
+        service.deadline = std::chrono::milliseconds(*rc::gen::inRange(0, 100000));
+        service.hedge = *rc::gen::arbitrary<bool>();
+        service.retryRatio = *rc::gen::inRange(0, 100) / 100.0;
+        out.services.push_back(service);
+        Pool pool{nameOf(n), 1, {}};
+        for (int it = 0; it < n; ++it) {
+            pool.targets.push_back({nameOf(it), "10.0.0.1", static_cast<uint16_t>(1 + it), "dc", 1 + it, it % 2 == 0});
+        }
+        out.pools.push_back(pool);
+        out.rules.push_back({nameOf(n), 2, "host", "/p", nameOf(n), Idempotency::Never, {"dc"}});
+        out.keys.push_back({nameOf(n), 3, "key", n % 2 == 0});
+        out.links.push_back({nameOf(n), 1, std::chrono::milliseconds(n)});
+        out.dataCentres.push_back({nameOf(n), 4, "region"});
+    }
+    return out;
+}
+
+ControlDocument someDocument()
+{
+    ControlDocument out;
+    out.accepted = someConfiguration(*rc::gen::inRange<uint64_t>(0, 1000));
+    if (*rc::gen::arbitrary<bool>()) {
+        out.staged = StagedTicket{5, someConfiguration(out.accepted.revision + 1)};
+    }
+    out.journal.push_back({4, *rc::gen::arbitrary<uint64_t>(), "ana", "why\nnot", TicketState::Refused,
+                           Code::StaleTicket, "detail", 7, 8, 9});
+    return out;
+}
+
+/// Changes, cuts or adds a few bytes.
+std::string damaged(std::string bytes)
+{
+    const int changes = *rc::gen::inRange(1, 4);
+    for (int n = 0; n < changes && !bytes.empty(); ++n) {
+        const auto at = *rc::gen::inRange<size_t>(0, bytes.size());
+        const int kind = *rc::gen::inRange(0, 3);
+        if (kind == 0) {
+            bytes[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+        } else if (kind == 1) {
+            bytes.resize(at);
+        } else {
+            bytes.insert(at, 1, static_cast<char>(*rc::gen::inRange(0, 256)));
+        }
+    }
+    return bytes;
+}
+
+} // namespace
+
+Test(codec, a_document_comes_back_as_it_was)
+{
+    cr_assert(rc::check("round trip", [] {
+        const ControlDocument document = someDocument();
+        const auto back = decodeDocument(encodeDocument(document));
+        RC_ASSERT(back.has_value());
+        RC_ASSERT(*back == document);
+    }));
+}
+
+Test(codec, a_damaged_document_is_refused_or_valid_and_never_stops_the_process)
+{
+    cr_assert(rc::check("damaged", [] {
+        const auto back = decodeDocument(damaged(encodeDocument(someDocument())));
+        RC_ASSERT(back.has_value() || back.error().code == Code::BadMessage);
+        if (back) {
+            RC_ASSERT(decodeDocument(encodeDocument(*back)).has_value());
+        }
+    }));
+}
+
+Test(codec, a_damaged_message_is_refused_or_valid_and_never_stops_the_process)
+{
+    cr_assert(rc::check("damaged", [] {
+        const std::string bytes = encodeDocument(someDocument());
+        const LoadNews news{"pool/a", {3, 6, true}, std::chrono::milliseconds(4), true};
+        const Message message{"entry-1", 9,
+                              *rc::gen::element<MessageBody>(DocumentCopy{4, bytes, hashBytes(bytes), true},
+                                                             NewsBatch{{news, news}}, EntryHello{4, 5},
+                                                             Heartbeat{true, {MemberReport{}}})};
+        const auto back = decodeMessage(damaged(encodeMessage(message)));
+        RC_ASSERT(back.has_value() || back.error().code == Code::BadMessage);
+    }));
+}
+
+Test(codec, fields_out_of_range_are_named)
+{
+    ControlDocument document;
+    document.accepted.pools.push_back({"pool", 1, {{"a", "10.0.0.1", 0, "dc", 1, false}}});
+    const auto port = decodeDocument(encodeDocument(document));
+    cr_assert(!port && port.error().detail == "target.port: must be from 1 to 65535");
+    document.accepted.pools.front().targets.front().port = 1;
+    document.accepted.pools.push_back({"pool", 1, {}});
+    cr_assert(decodeDocument(encodeDocument(document)).error().detail
+              == "pools: must be in the order of names, each once");
+    document.accepted.pools.pop_back();
+    document.staged = StagedTicket{1, {}};
+    document.staged->next.revision = 7;
+    cr_assert(!decodeDocument(encodeDocument(document)));
+}
+
+Test(codec, a_copy_whose_hash_does_not_fit_is_refused)
+{
+    const Message message{"entry-1", 1, DocumentCopy{4, "bytes", hashBytes("other bytes"), true}};
+    cr_assert(decodeMessage(encodeMessage(message)).error().code == Code::BadMessage);
+}
