Share the keepers of a data centre out between its watchers

Cause: the first watcher sent every copy of the document, so that eight tickets in a row at 60 keepers spent its budget and the last waited 24.9 s.

--- a/src/programs/damask-keeper/peer_side.cpp
+++ b/src/programs/damask-keeper/peer_side.cpp
@@ -133,7 +133,8 @@
         }
     }
 
-    /// A watcher sends the document to each keeper of its data centre that holds an older one.
+    /// The watchers of a data centre share its keepers out, and stand in for each other after a while: each keeper
+    /// that holds an older document gets it.
     void push(std::span<const MemberView> all)
     {
         const auto held = documents.current();
@@ -147,13 +148,15 @@
             heldVersion = held->versioned.version;
             heldSince = now;
         }
-        if (now < heldSince + (own - watchers.begin()) * StandInDelay) {
-            return;
-        }
+        const auto rank = static_cast<size_t>(own - watchers.begin());
+        size_t n = 0;
         for (const MemberView &it : all) {
-            const bool near = it.instance.dataCentre == options.self.dataCentre;
-            if (near && it.instance.name != options.self.name && it.state != MemberState::Gone
-                && it.version < heldVersion) {
+            if (it.instance.dataCentre != options.self.dataCentre || it.state == MemberState::Gone) {
+                continue;
+            }
+            const bool mine = n++ % watchers.size() == rank;
+            const bool due = mine || now >= heldSince + StandInDelay;
+            if (due && it.instance.name != options.self.name && it.version < heldVersion) {
                 pushTo(it, *held, now);
             }
         }
