Give a store that was put back its newer document again

Cause: a store that comes back with old content would take tickets built on it, and once its revisions passed ours, accepted tickets would have reverted. Change: a keeper on duty writes its newer document over the older one by a fenced compare-and-swap; operators' tickets are refused with OlderRevision meanwhile. Conclusion: an accepted ticket outlasts a store that loses writes, while one keeper that holds it lives.

--- a/src/programs/damask-keeper/keeper.cpp
+++ b/src/programs/damask-keeper/keeper.cpp
@@ -4,6 +4,7 @@
 #include "accounting.h"
 #include "base/log.h"
 #include "base/thread.h"
+#include "control/effective.h"
 #include "document_holder.h"
 #include "entry_port.h"
 #include "member_table.h"
@@ -78,7 +79,7 @@
                     }})
         , store(clockIn, metricsIn, optionsIn, members, storeHooks())
         , peers(clockIn, metricsIn, optionsIn, members, documents, peerHooks())
-        , desk(metricsIn, store.documents(),
+        , desk(metricsIn, operatorsDocuments(),
                {.wallClock = wallClock,
                 .instances =
                     [this] {
@@ -193,7 +194,11 @@
 
     void adopt(VersionedDocument document, std::string bytes, std::string_view source)
     {
+        const uint64_t version = document.version;
         const auto adopted = documents.adopt(std::move(document), std::move(bytes), source);
+        if (!adopted && adopted.error().code == Code::OlderRevision && fromStore(source)) {
+            store.restore(documents.current(), version);
+        }
         if (!adopted || *adopted == Adoption::Same) {
             return;
         }
@@ -210,6 +215,29 @@
         poke();
     }
 
+    static bool fromStore(std::string_view source)
+    {
+        return source == StoreSource || source == WatchSource;
+    }
+
+    /// Operators' tickets are never built on a state that the store has been put back to.
+    DocumentStore operatorsDocuments()
+    {
+        DocumentStore out = store.documents();
+        out.load = [this, load = out.load]() -> Result<VersionedDocument> {
+            auto document = load();
+            const auto held = documents.current();
+            if (!document || !held) {
+                return document;
+            }
+            if (const auto allowed = mayReplace(held->effective, document->document); !allowed) {
+                return tl::make_unexpected(allowed.error());
+            }
+            return document;
+        };
+        return out;
+    }
+
     /// Two threads may adopt at once, so what is offered is read under the lock that orders the offers.
     void offerCurrent()
     {
--- a/src/programs/damask-keeper/store_side.cpp
+++ b/src/programs/damask-keeper/store_side.cpp
@@ -58,8 +58,10 @@
         , hooks(std::move(hooksIn))
         , client(clockIn, metricsIn, optionsIn.store)
         , watch(clockIn, metricsIn, client, hooks.codec,
-                {.changed = [this](VersionedDocument document,
-                                   std::string bytes) { hooks.adopt(std::move(document), std::move(bytes), "watch"); },
+                {.changed =
+                     [this](VersionedDocument document, std::string bytes) {
+                         hooks.adopt(std::move(document), std::move(bytes), WatchSource);
+                     },
                  .random = {}})
         , joinBackoff({.least = std::chrono::milliseconds(500), .most = std::chrono::seconds(10)}, systemRandom())
         , pool(clockIn, {.name = "store", .threads = PoolThreads, .queueLimit = PoolQueue})
@@ -107,13 +109,13 @@
         const auto entry = client.get(DocumentKey);
         if (!entry) {
             if (entry.error().code == Code::NotFound) {
-                hooks.adopt(VersionedDocument{}, hooks.codec.encode(ControlDocument{}), "store");
+                hooks.adopt(VersionedDocument{}, hooks.codec.encode(ControlDocument{}), StoreSource);
             }
             return;
         }
         auto document = damask::readDocument(*entry, metrics, hooks.codec);
         if (document) {
-            hooks.adopt(std::move(*document), entry->value, "store");
+            hooks.adopt(std::move(*document), entry->value, StoreSource);
         }
     }
 
@@ -315,6 +317,25 @@
     }
 }
 
+void StoreSide::restore(std::shared_ptr<const HeldDocument> held, uint64_t storeVersion)
+{
+    submit([this, held = std::move(held), storeVersion] {
+        const auto fence = duty();
+        if (!fence) {
+            return; // one on duty does it
+        }
+        const auto written = m_state->client.swap({.key = std::string(DocumentKey),
+                                                   .value = held->bytes,
+                                                   .version = storeVersion,
+                                                   .lease = 0,
+                                                   .fence = *fence});
+        const Code code = written ? Code::Ok : written.error().code;
+        m_state->metrics.countCode("damask_keeper_restores_total", code);
+        logEvent(Severity::Error, "store-restored",
+                 {{"code", codeNumber(code)}, {"effective", held->effective}, {"over", storeVersion}});
+    });
+}
+
 Result<StoreFence> StoreSide::duty() const
 {
     return m_state->duty();
--- a/src/programs/damask-keeper/store_side.h
+++ b/src/programs/damask-keeper/store_side.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "base/random.h"
+#include "document_holder.h"
 #include "keeper.h"
 #include "member/lease.h"
 #include "member_table.h"
@@ -21,6 +22,9 @@
 
 namespace damask {
 
+constexpr std::string_view StoreSource = "store"; // read
+constexpr std::string_view WatchSource = "watch"; // seen by the watch
+
 struct StoreSideHooks {
     std::function<void(VersionedDocument, std::string bytes, std::string_view source)> adopt;
     DocumentCodec                                                                      codec;
@@ -39,6 +43,9 @@
     void readRecords();                      // on the calling thread
     void reap();                             // removes the records of instances that are gone, on the calling thread
 
+    /// Writes a document over one that the store has of an older state; needs duty. Runs on the pool.
+    void restore(std::shared_ptr<const HeldDocument> held, uint64_t storeVersion);
+
     Result<StoreFence> duty() const;      // checked right before an act; LeaseLapsed
     bool               joined() const;    // the record stands in the store
     bool               reachable() const; // by the last call
--- a/src/wire/configuration_codec.cpp
+++ b/src/wire/configuration_codec.cpp
@@ -75,10 +75,10 @@
             refuse(field, "has too many items");
         }
     }
-    template<class T>
-    void ordered(const std::vector<T> &list, std::string_view field)
+    template<class List>
+    void ordered(const List &list, std::string_view field)
     {
-        const auto rises = [](const T &a, const T &b) {
+        const auto rises = [](const auto &a, const auto &b) {
             return a.name >= b.name;
         };
         if (std::adjacent_find(list.begin(), list.end(), rises) != list.end()) {
--- a/tests/programs/test_keeper.cpp
+++ b/tests/programs/test_keeper.cpp
@@ -3,6 +3,7 @@
 #include "fakes/tickets.h"
 #include "programs/damask-entry/keeper_link.h"
 #include "programs/damask-keeper/keeper.h"
+#include "wire/document_codec.h"
 
 #include <atomic>
 #include <criterion/criterion.h>
@@ -167,20 +168,22 @@
     cr_assert(!entry.reverted);
 }
 
-Test(keeper, a_store_put_back_to_an_older_state_is_refused)
+Test(keeper, a_store_put_back_to_an_older_state_is_refused_and_gets_the_newer_one_again)
 {
     Fleet fleet;
     Keeper &keeper = fleet.add("a");
     const Entry entry(fleet.clock, keeper.entryAddress(), fleet.keys);
     fleet.configure(keeper, entry);
-    const std::string old;
-    const standin::Put put{"/damask/document", "\x08\x01", 0}; // a valid document of revision 0
+    const std::string old = encodeDocument({});
+    const standin::Put put{"/damask/document", old, 0};
     cr_assert(fleet.service.keys().txn({}, std::span(&put, 1))->succeeded);
-    const auto refused = [&] {
-        return fleet.metrics.front()->text().find("damask_keeper_document_refusals_total{code=\"OlderRevision\"}")
-               != std::string::npos;
+    const auto restored = [&] {
+        const auto held = fleet.service.keys().range(put.key, {});
+        return !held.empty() && decodeDocument(held.front().value)->accepted.revision == 1;
     };
-    cr_assert(eventually(refused));
+    cr_assert(eventually(restored));
+    cr_assert(fleet.metrics.front()->text().find("damask_keeper_document_refusals_total{code=\"OlderRevision\"}")
+              != std::string::npos);
     cr_assert(entry.revision == 2 && !entry.reverted);
 }
 
