--- a/src/wire/configuration_codec.cpp
+++ b/src/wire/configuration_codec.cpp
@@ -1,8 +1,9 @@
-#include "wire/control.pb.h"
+#include "control.pb.h"
 #include "wire/convert.h"
 
 #include <algorithm>
 #include <cmath>
+#include <google/protobuf/stubs/logging.h>
 #include <limits>
 
 namespace damask {
@@ -12,6 +13,9 @@
 constexpr uint32_t MaxPort = 65535;
 constexpr double MaxRate = 1e12; // bytes or probes a second
 
+/// The library's own lines on stderr are no JSON; what is malformed is logged by who decodes it.
+const auto quietLibrary = google::protobuf::SetLogHandler(nullptr);
+
 /// Collects the first failure, so that reading a message is one line a field.
 struct FieldReader {
     Error error;
@@ -71,10 +75,10 @@
             refuse(field, "has too many items");
         }
     }
-    template<class T>
-    void ordered(const std::vector<T> &list, std::string_view field)
+    template<class List>
+    void ordered(const List &list, std::string_view field)
     {
-        const auto rises = [](const T &a, const T &b) {
+        const auto rises = [](const auto &a, const auto &b) {
             return a.name >= b.name;
         };
         if (std::adjacent_find(list.begin(), list.end(), rises) != list.end()) {
