Carry undo and highestCut in the store's document, and keep records in one line

Cause: the document's encoding lacked both new fields, so going back and the refusal of cut numbers would have been lost in the store; and it refuses control characters, so that a refused stale ticket, whose detail had several lines, would have made the whole document unreadable. The fake store of the control tests sends each document through the real encoding and counts what does not come back the same. Conclusion: what the desk writes, a reader takes.

--- a/src/config/ticket.cpp
+++ b/src/config/ticket.cpp
@@ -143,8 +143,9 @@
         }
         if (entry.key == "comment") {
             ticket.comment = entry.value;
-            check(entry.value.size() <= MostCommentBytes, entry,
-                  "at most " + std::to_string(MostCommentBytes) + " bytes");
+            const bool tab = entry.value.find('\t') != std::string::npos;
+            check(!tab && entry.value.size() <= MostCommentBytes, entry,
+                  "at most " + std::to_string(MostCommentBytes) + " bytes without tabs");
             return;
         }
         if (entry.key == "allow-capacity-loss") {
--- a/src/control/ticket_decision.cpp
+++ b/src/control/ticket_decision.cpp
@@ -21,17 +21,16 @@
     return it == document.journal.end() ? nullptr : &*it;
 }
 
-/// Cut to at most limit bytes, at the end of a line or of a character.
+/// In one line, cut to at most limit bytes at the end of a character.
 std::string shortened(std::string_view text, size_t limit)
 {
-    if (text.size() <= limit) {
-        return std::string(text);
-    }
-    size_t end = limit;
-    while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xC0U) == 0x80U) {
+    size_t end = std::min(limit, text.size());
+    while (end > 0 && end < text.size() && (static_cast<unsigned char>(text[end]) & 0xC0U) == 0x80U) {
         --end;
     }
-    return std::string(text.substr(0, end)) + " ...";
+    std::string out(text.substr(0, end));
+    std::replace(out.begin(), out.end(), '\n', ' ');
+    return end < text.size() ? out + " ..." : out;
 }
 
 void cutRecords(ControlDocument &document, const JournalLimits &limits)
--- a/src/wire/document_codec.cpp
+++ b/src/wire/document_codec.cpp
@@ -25,6 +25,7 @@
     to.set_revision(from.revision);
     to.set_submitted_at(from.submittedAt);
     to.set_ended_at(from.endedAt);
+    to.set_undo(from.undo);
 }
 
 Result<TicketRecord> readRecord(const pb::TicketRecord &from)
@@ -47,7 +48,8 @@
                         .detail = from.detail(),
                         .revision = from.revision(),
                         .submittedAt = from.submitted_at(),
-                        .endedAt = from.ended_at()};
+                        .endedAt = from.ended_at(),
+                        .undo = from.undo()};
 }
 
 Result<void> readStaged(const pb::ControlDocument &from, ControlDocument &out)
@@ -80,6 +82,7 @@
     for (const TicketRecord &it : document.journal) {
         writeRecord(it, *to.add_journal());
     }
+    to.set_highest_cut(document.highestCut);
     return to.SerializeAsString();
 }
 
@@ -101,6 +104,7 @@
     if (const auto staged = readStaged(from, out); !staged) {
         return tl::make_unexpected(staged.error());
     }
+    out.highestCut = from.highest_cut();
     if (from.journal_size() > MaxItems) {
         return fail(Code::BadMessage, "journal: has too many items");
     }
--- a/tests/config/test_intersect.cpp
+++ b/tests/config/test_intersect.cpp
@@ -1,6 +1,7 @@
 #include "config/intersect.h"
 #include "config/kind.h"
 #include "route/rules.h"
+#include "wire/document_codec.h"
 
 #include <rapidcheck.h>
 
@@ -99,6 +100,9 @@
         const Configuration before = anyConfiguration();
         const Configuration after = anyConfiguration();
         const Configuration both = allowedByBoth(before, after);
+        const auto sent = decodeDocument(encodeDocument({.accepted = both}));
+        RC_ASSERT(sent.has_value());
+        RC_ASSERT(sent->accepted == both);
         for (const std::string_view host : RequestHosts) {
             for (const std::string_view path : RequestPaths) {
                 const std::set<int> was = reached(before, host, path);
--- a/tests/control/control_fleet.cpp
+++ b/tests/control/control_fleet.cpp
@@ -291,6 +291,9 @@
 {
     const ControlDocument &now = document();
     const Configuration &last = m_history.back().configuration;
+    if (m_store.encodingLosses > 0) {
+        m_broken = "a document can't be read back as it was written";
+    }
     if (now.accepted.revision < last.revision) {
         m_broken = "the accepted revision decreased";
     }
--- a/tests/control/test_ticket_desk.cpp
+++ b/tests/control/test_ticket_desk.cpp
@@ -11,6 +11,11 @@
 namespace {
 
 struct Desk {
+    ~Desk()
+    {
+        cr_assert(store.encodingLosses == 0);
+    }
+
     Metrics metrics;
     FakeDocumentStore store;
     std::vector<InstanceView> instances;
--- a/tests/fakes/fake_document_store.h
+++ b/tests/fakes/fake_document_store.h
@@ -1,7 +1,8 @@
-/// A store of one document in memory that fails as it is told.
+/// A store of one document in memory that fails as it is told. Each document goes through the encoding of the real one.
 #pragma once
 
 #include "control/document.h"
+#include "wire/document_codec.h"
 
 #include <deque>
 
@@ -37,10 +38,11 @@
         m_delayed.reset();
     }
 
-    VersionedDocument     document;     // what the store holds
-    bool                  down = false; // loads and swaps fail
-    std::deque<SwapFault> faults;       // of the coming swaps; then None
-    int                   writes = 0;   // that took effect
+    VersionedDocument     document;           // what the store holds
+    bool                  down = false;       // loads and swaps fail
+    std::deque<SwapFault> faults;             // of the coming swaps; then None
+    int                   encodingLosses = 0; // documents that a reader would refuse or see differently
+    int                   writes = 0;         // that took effect
 
 private:
     Result<VersionedDocument> load()
@@ -79,6 +81,10 @@
 
     void apply(const ControlDocument &next)
     {
+        const auto decoded = decodeDocument(encodeDocument(next));
+        if (!decoded || *decoded != next) {
+            encodingLosses += 1;
+        }
         document.document = next;
         ++document.version;
         ++writes;
