Keep the number of RapidCheck cases under any seed

Cause: CTest now gives RC_PARAMS=seed=1, which replaced the parameters of the model's test and cut its cases to 100. Change: tests/fakes/rapid_params.h adds the counts to the seed given. Conclusion: as many cases as before.

--- a/src/route/target_load.cpp
+++ b/src/route/target_load.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-constexpr size_t ReservedCalls = 64;      // calls in flight held without an allocation
-constexpr float TimeWeight = 0.05F;       // of a new answer in the typical time
+constexpr size_t ReservedCalls = 64;     // calls in flight held without an allocation
+constexpr float TimeWeight = 0.05F;      // of a new answer in the typical time
 constexpr double OwnTellsOfOthers = 0.2; // share by which each own call that waits there raises the usual load
-constexpr float QueueOfSlots = 0.5F;      // calls queued at a target at most, in shares of its slots
-constexpr float RaiseOnSuccess = 0.05F;   // calls by which one answer raises the limit
-constexpr float LowerOnRefusal = 0.3F;    // share of the limit that one refusal takes away
+constexpr float QueueOfSlots = 0.5F;     // calls queued at a target at most, in shares of its slots
+constexpr float RaiseOnSuccess = 0.05F;  // calls by which one answer raises the limit
+constexpr float LowerOnRefusal = 0.3F;   // share of the limit that one refusal takes away
 
 /// About 2^-halves, without a call of the math library; exact at 0 and falling.
 double decay(double halves)
--- a/tests/config/test_intersect.cpp
+++ b/tests/config/test_intersect.cpp
@@ -1,12 +1,12 @@
 #include "config/intersect.h"
 #include "config/kind.h"
+#include "fakes/rapid_params.h"
 #include "route/rules.h"
 #include "wire/document_codec.h"
 
 #include <rapidcheck.h>
 
 #include <criterion/criterion.h>
-#include <cstdlib>
 #include <set>
 
 using namespace damask;
@@ -95,7 +95,7 @@
 
 Test(intersect, requests_reach_exactly_what_both_states_allow)
 {
-    setenv("RC_PARAMS", "seed=7 max_success=1500", 0);
+    fakes::setRapidRuns(1500);
     const bool held = rc::check([] {
         const Configuration before = anyConfiguration();
         const Configuration after = anyConfiguration();
@@ -127,7 +127,7 @@
 
 Test(intersect, a_state_with_itself_changes_nothing_that_counts)
 {
-    setenv("RC_PARAMS", "seed=8 max_success=300", 0);
+    fakes::setRapidRuns(300);
     const bool held = rc::check([] {
         const Configuration state = anyConfiguration();
         const Configuration both = allowedByBoth(state, state);
--- a/tests/control/test_fleet.cpp
+++ b/tests/control/test_fleet.cpp
@@ -2,13 +2,13 @@
 #include "base/random.h"
 #include "control/effective.h"
 #include "fakes/control_fleet.h"
+#include "fakes/rapid_params.h"
 
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
 
 #include <criterion/criterion.h>
 #include <cstdio>
-#include <cstdlib>
 
 using namespace damask;
 using namespace damask::fakes;
@@ -113,7 +113,7 @@
 Test(fleet, stage_confirm_accept_holds_whatever_happens)
 {
     setLogLevel(Severity::Error);
-    setenv("RC_PARAMS", "seed=20261204 max_success=500 max_size=200", 0);
+    setRapidRuns(500, 200);
     const bool held = rc::check("no instance acts on what an accepted ticket forbids", [] {
         ControlFleet fleet(Way::StageConfirmAccept);
         rc::state::check(Oracle(), fleet, rc::state::gen::execOneOfWithArgs<ControlFleetStep>());
