--- a/tests/config/test_intersect.cpp
+++ b/tests/config/test_intersect.cpp
@@ -1,11 +1,12 @@
 #include "config/intersect.h"
 #include "config/kind.h"
+#include "fakes/rapid_params.h"
 #include "route/rules.h"
+#include "wire/document_codec.h"
 
 #include <rapidcheck.h>
 
 #include <criterion/criterion.h>
-#include <cstdlib>
 #include <set>
 
 using namespace damask;
@@ -94,11 +95,14 @@
 
 Test(intersect, requests_reach_exactly_what_both_states_allow)
 {
-    setenv("RC_PARAMS", "seed=7 max_success=1500", 0);
+    fakes::setRapidRuns(1500);
     const bool held = rc::check([] {
         const Configuration before = anyConfiguration();
         const Configuration after = anyConfiguration();
         const Configuration both = allowedByBoth(before, after);
+        const auto sent = decodeDocument(encodeDocument({.accepted = both}));
+        RC_ASSERT(sent.has_value());
+        RC_ASSERT(sent->accepted == both);
         for (const std::string_view host : RequestHosts) {
             for (const std::string_view path : RequestPaths) {
                 const std::set<int> was = reached(before, host, path);
@@ -123,7 +127,7 @@
 
 Test(intersect, a_state_with_itself_changes_nothing_that_counts)
 {
-    setenv("RC_PARAMS", "seed=8 max_success=300", 0);
+    fakes::setRapidRuns(300);
     const bool held = rc::check([] {
         const Configuration state = anyConfiguration();
         const Configuration both = allowedByBoth(state, state);
