--- a/src/route/service_learn.cpp
+++ b/src/route/service_learn.cpp
@@ -13,10 +13,11 @@
 constexpr float OverFullTimes = 1.5F;                           // the limit of calls in flight
 constexpr Duration UsualOver = std::chrono::milliseconds(500);  // time over which the usual load is averaged
 constexpr Duration FirstReport = std::chrono::milliseconds(50); // time that a target's first report counts for
-constexpr double MostShare = 0.2;                               // of one report in the usual load
-constexpr float FleetWeight = 0.02F;                            // of one report or answer in the fleet's average
-constexpr Duration LeavingHolds = std::chrono::seconds(60);     // news of leaving, unless repeated
-constexpr int FirstServerError = 500;                           // HTTP status
+constexpr double MostSlower = 2;     // times the usual answer time, as one answer counts for trust in reports
+constexpr double MostShare = 0.2;    // of one report in the usual load
+constexpr float FleetWeight = 0.02F; // of one report or answer in the fleet's average
+constexpr Duration LeavingHolds = std::chrono::seconds(60); // news of leaving, unless repeated
+constexpr int FirstServerError = 500;                       // HTTP status
 
 /// Whether a target says that it has far more than it should: calls in flight must become fewer.
 bool overFull(const TargetEntry &entry, const PermitReport &report)
@@ -82,6 +83,10 @@
     const Duration whole = now - permit.grantedAt;
     const Duration own = std::max(whole - entry.linkDelay, Duration(0));
     const auto sample = static_cast<float>(toMilliseconds(own));
+    if (entry.load.lastReport() >= 0 && m_fleetTime > 0) {
+        const double slower = std::clamp(static_cast<double>(sample / m_fleetTime) - 1, -1.0, MostSlower);
+        m_trust.learn(entry.load.others() - entry.load.meanOthers(), slower);
+    }
     m_expected.answered(whole, now);
     m_fleetTime = m_fleetTime == 0 ? sample : m_fleetTime + FleetWeight * (sample - m_fleetTime);
     entry.load.answered(own);
@@ -110,7 +115,7 @@
     // A busy target is heard less often; each report counts for the time since the one before it.
     const bool first = entry.load.lastReport() < 0;
     const Duration since = first ? FirstReport : takenAt - entry.load.reportedAt();
-    entry.load.reported(report, takenAt);
+    entry.load.reported(report, takenAt, m_usualOthers);
     entry.reportsDrain = report.draining;
     const double share = toSeconds(since) / (toSeconds(UsualOver) * static_cast<double>(m_targets.size()));
     m_usualOthers += std::clamp(share, 0.0, MostShare) * (entry.load.others() - m_usualOthers);
@@ -168,7 +173,7 @@
         n.name = it->address->name;
         n.dataCentre = it->target.dataCentre;
         n.inFlight = it->load.inFlight();
-        n.estimate = it->load.estimate(now, reportHalfLife(), m_usualOthers);
+        n.estimate = it->load.estimate(now, aging());
         n.reportAge = reported ? now - it->load.reportedAt() : Duration(0);
         n.reported = reported;
         n.draining = draining(*it, now);
--- a/src/route/service_table.cpp
+++ b/src/route/service_table.cpp
@@ -11,8 +11,8 @@
 
 constexpr Duration WithinRegion = std::chrono::microseconds(3000); // there and back between data centres of a region
 constexpr Duration UnknownLink = std::chrono::milliseconds(16);    // there and back where no link is configured
-constexpr size_t NearShare = 16;                                   // candidates from this data centre, when many
-constexpr size_t RegionShare = 8;                                  // candidates from the rest of this region
+constexpr size_t NearShare = 10;                                   // candidates from this data centre, when many
+constexpr size_t RegionShare = 4;                                  // candidates from the rest of this region
 constexpr double HurryAfterTimes = 4;                              // usual answer times without any answer
 constexpr float HoldTimes = 1;                                     // usual answer times held for a better estimate
 constexpr float LeastTime = 1;                                     // ms, taken for an answer while none is known
@@ -236,12 +236,11 @@
     return nullptr;
 }
 
-Duration ServiceTable::reportHalfLife() const
+ReportAging ServiceTable::aging() const
 {
-    if (m_options.reportHalfLife > Duration(0)) {
-        return m_options.reportHalfLife;
-    }
-    return fromMilliseconds(std::max(LeastTime, m_fleetTime));
+    const Duration usual = fromMilliseconds(std::max(LeastTime, m_fleetTime));
+    const Duration halfLife = m_options.reportHalfLife > Duration(0) ? m_options.reportHalfLife : usual;
+    return {halfLife, m_usualOthers, m_trust.trust()};
 }
 
 bool ServiceTable::hurry(TimePoint now) const
@@ -256,6 +255,7 @@
 void ServiceTable::collect(const AcquireRequest &request, TimePoint now)
 {
     m_views.clear();
+    m_aging = aging();
     if (m_configured <= MostCandidates) {
         collectFrom(0, m_configured, m_configured, request, now);
     } else {
@@ -314,7 +314,7 @@
     TargetView view;
     view.inFlight = load.inFlight();
     view.slots = entry.target.slots;
-    view.estimate = load.estimate(now, reportHalfLife(), m_usualOthers);
+    view.estimate = load.estimate(now, m_aging);
     view.reportAge = reported ? static_cast<float>(toMilliseconds(now - load.reportedAt())) : view.reportAge;
     view.reported = load.lastReport();
     view.oldestCall = static_cast<float>(toMilliseconds(load.oldestCall(now)));
--- a/src/route/service_table.h
+++ b/src/route/service_table.h
@@ -8,6 +8,7 @@
 #include "route/caller_share.h"
 #include "route/expected_time.h"
 #include "route/region_budget.h"
+#include "route/report_trust.h"
 #include "route/target_health.h"
 #include "route/target_load.h"
 #include "route/wait_queue.h"
@@ -43,7 +44,7 @@
 class ServiceTable
 {
 public:
-    static constexpr size_t MostCandidates = 32; // targets looked at in one choice
+    static constexpr size_t MostCandidates = 24; // targets looked at in one choice
     static constexpr size_t RecentTargets = 8;   // of them those that reported last
 
     ServiceTable(const BalancerOptions &options, const BalancerHooks &hooks, std::string_view name, TimePoint now);
@@ -83,7 +84,7 @@
     TargetView   viewOf(const TargetEntry &entry, TimePoint now) const;
     TargetEntry *trialFor(const AcquireRequest &request, TimePoint now);
     bool         hurry(TimePoint now) const;
-    Duration     reportHalfLife() const;
+    ReportAging  aging() const;
     void         learn(TargetEntry &entry, const Permit &permit, const PermitReport &report, TimePoint now);
     void         learnAnswer(TargetEntry &entry, const Permit &permit, TimePoint now);
     void         learnFailure(TargetEntry &entry, TimePoint now);
@@ -100,10 +101,12 @@
     std::array<size_t, RecentTargets>         m_recent{};      // the targets that reported last
     size_t                                    m_recentNext = 0;
     std::vector<TargetView>                   m_views;             // of one choice, kept for its memory
+    ReportAging                               m_aging;             // of one choice
     bool                                      m_regionOpen = true; // the budget across regions allows this choice
     WaitQueue                                 m_queue;
     CallerShares                              m_shares;
     ExpectedTime                              m_expected;
+    ReportTrust                               m_trust;
     RegionBudget                              m_regionBudget;
     double                                    m_usualOthers = 0; // others' calls on a target, smoothed over all
     float                                     m_fleetTime = 0;   // ms, of answers, smoothed over all
--- a/src/route/target_load.cpp
+++ b/src/route/target_load.cpp
@@ -8,12 +8,15 @@
 
 namespace {
 
-constexpr size_t ReservedCalls = 64;      // calls in flight held without an allocation
-constexpr float TimeWeight = 0.05F;       // of a new answer in the typical time
+constexpr size_t ReservedCalls = 64;                   // calls in flight held without an allocation
+constexpr float TimeWeight = 0.05F;                    // of a new answer in the typical time
+constexpr Duration MeanOver = std::chrono::seconds(1); // time over which a target's reports are averaged
+constexpr double MostShare = 0.3;                      // of one report in that average
+constexpr double BeliefInMean = 0.5;                   // in a lasting difference of its reports from the other targets'
 constexpr double OwnTellsOfOthers = 0.2; // share by which each own call that waits there raises the usual load
-constexpr float QueueOfSlots = 0.5F;      // calls queued at a target at most, in shares of its slots
-constexpr float RaiseOnSuccess = 0.05F;   // calls by which one answer raises the limit
-constexpr float LowerOnRefusal = 0.3F;    // share of the limit that one refusal takes away
+constexpr float QueueOfSlots = 0.5F;     // calls queued at a target at most, in shares of its slots
+constexpr float RaiseOnSuccess = 0.05F;  // calls by which one answer raises the limit
+constexpr float LowerOnRefusal = 0.3F;   // share of the limit that one refusal takes away
 
 /// About 2^-halves, without a call of the math library; exact at 0 and falling.
 double decay(double halves)
@@ -43,7 +46,7 @@
     return call;
 }
 
-void TargetLoad::reported(const LoadReport &report, TimePoint takenAt)
+void TargetLoad::reported(const LoadReport &report, TimePoint takenAt, double usual)
 {
     if (m_lastReport >= 0 && takenAt < m_reportedAt) {
         return;
@@ -51,6 +54,10 @@
     const auto sentBefore =
         std::count_if(m_calls.begin(), m_calls.end(), [&](const CallInFlight &n) { return n.sentAt <= takenAt; });
     m_others = std::max(0.0, static_cast<double>(report.inFlight - sentBefore));
+    const bool first = m_lastReport < 0;
+    m_meanOthers = first ? usual : m_meanOthers;
+    const double share = first ? 0 : toSeconds(takenAt - m_reportedAt) / toSeconds(MeanOver);
+    m_meanOthers += std::min(share, MostShare) * (m_others - m_meanOthers);
     m_lastReport = std::max(0, report.inFlight);
     m_reportedAt = takenAt;
 }
@@ -76,17 +83,24 @@
 {
     m_lastReport = -1;
     m_others = 0;
+    m_meanOthers = 0;
     m_typicalTime = 0;
     m_queueAllowed = 0;
 }
 
-double TargetLoad::estimate(TimePoint now, Duration halfLife, double usual) const
+double TargetLoad::estimate(TimePoint now, const ReportAging &aging) const
 {
     const auto own = static_cast<double>(m_calls.size());
-    const double halves = toSeconds(std::max(now - m_reportedAt, Duration(0))) / toSeconds(halfLife);
-    const double weight = m_lastReport < 0 ? 0 : decay(halves);
-    const double assumed = usual * (1 + OwnTellsOfOthers * own);
-    return own + weight * m_others + (1 - weight) * assumed;
+    const double halves = toSeconds(std::max(now - m_reportedAt, Duration(0))) / toSeconds(aging.halfLife);
+    const double weight = m_lastReport < 0 ? 0 : aging.trust * decay(halves);
+    const double assumed = aging.usual * (1 + OwnTellsOfOthers * own);
+    const double believed = m_others - (1 - BeliefInMean) * (m_meanOthers - aging.usual);
+    return own + std::max(0.0, assumed + weight * (believed - assumed));
+}
+
+double TargetLoad::meanOthers() const
+{
+    return m_meanOthers;
 }
 
 double TargetLoad::others() const
--- a/src/route/target_load.h
+++ b/src/route/target_load.h
@@ -18,6 +18,13 @@
     TimePoint sentAt;
 };
 
+/// How the reports of a service's targets lose weight.
+struct ReportAging {
+    Duration halfLife = std::chrono::milliseconds(10);
+    double   usual = 0; // others' calls on a target of which nothing is known
+    double   trust = 1; // 0 to 1: weight of a fresh report
+};
+
 class TargetLoad
 {
 public:
@@ -25,16 +32,17 @@
 
     void         sent(const CallInFlight &call);
     CallInFlight ended(uint64_t permit); // asserts that the permit was out
-    void         reported(const LoadReport &report, TimePoint takenAt);
+    void         reported(const LoadReport &report, TimePoint takenAt, double usual);
     void         answered(Duration time); // a good answer; its time without the link
     void         refused(int slots);      // the target had no room: lowers the limit
     void         succeeded(int slots);    // the target had room: raises the limit slowly
     void         forget();                // another process stands at the address now
 
-    double   estimate(TimePoint now, Duration halfLife, double usual) const; // usual: others' calls on such a target
-    double   others() const;                                                 // of the last report: calls not ours
-    Duration oldestCall(TimePoint now) const;                                // 0 when none is in flight
-    float    limit(int slots) const;                                         // 1 to slots and a small queue
+    double   estimate(TimePoint now, const ReportAging &aging) const; // calls of all entries in flight there
+    double   others() const;                                          // of the last report: calls not ours
+    double   meanOthers() const;                                      // of its reports, smoothed over about a second
+    Duration oldestCall(TimePoint now) const;                         // 0 when none is in flight
+    float    limit(int slots) const;                                  // 1 to slots and a small queue
 
     int inFlight() const
     {
@@ -58,6 +66,7 @@
     TimePoint                 m_reportedAt{};
     int                       m_lastReport = -1;
     double                    m_others = 0;
+    double                    m_meanOthers = 0;
     float                     m_typicalTime = 0;
     float                     m_queueAllowed = 0; // calls beyond the slots; negative after refusals
 };
--- /dev/null
+++ b/tests/route/test_report_trust.cpp
@@ -0,0 +1,25 @@
+// Reports that do not move with answer times lose their weight.
+#include "base/random.h"
+#include "route/report_trust.h"
+
+#include <criterion/criterion.h>
+
+using namespace damask;
+
+Test(report_trust, true_reports_keep_it_and_lagging_or_constant_ones_lose_it)
+{
+    const RandomSource random = seededRandom(7);
+    ReportTrust honest;
+    ReportTrust lagging;
+    ReportTrust constant;
+    for (int n = 0; n < 2000; ++n) {
+        const double load = randomUnit(random) - 0.5;
+        const double time = load + randomUnit(random) - 0.5;
+        honest.learn(load, time);
+        lagging.learn(randomUnit(random) - 0.5, time);
+        constant.learn(0, time);
+    }
+    cr_assert(honest.trust() > 0.9);
+    cr_assert(lagging.trust() < 0.2);
+    cr_assert(constant.trust() == 1, "a report that never moves says nothing either way");
+}
