--- a/bench/tail/driver.cpp
+++ b/bench/tail/driver.cpp
@@ -3,12 +3,12 @@
 #include "base/check.h"
 #include "base/clock.h"
 #include "base/metrics.h"
+#include "measure/prober.h"
 #include "route/balancer.h"
 #include "tail/fake_target.h"
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <map>
 #include <memory>
 #include <queue>
@@ -18,25 +18,12 @@
 
 namespace {
 
-constexpr size_t Entries = 15;
-constexpr size_t Services = 3;
-constexpr size_t DataCentres = 6;
 constexpr int MostAttempts = 3;
 constexpr Duration Deadline = std::chrono::seconds(2);
 constexpr Duration RefusalTime = std::chrono::microseconds(200); // of a target that refuses
-constexpr Duration WithinRegion = std::chrono::microseconds(1500);
-constexpr Duration BetweenRegions = std::chrono::milliseconds(8);
-constexpr double QuietFor = 40;     // ms, mean, between noisy times of a neighbour
-constexpr double NoisyFor = 20;     // ms, mean
-constexpr double NoisySpeed = 0.25; // of a target beside a noisy neighbour
-constexpr double WorkSpread = 0.5;  // coefficient of variation of the work of calls
-constexpr std::array<std::string_view, Services> ServiceNames{"listings", "reservations", "payments"};
-constexpr std::array<std::string_view, DataCentres> DataCentreNames{"a1", "a2", "b1", "b2", "c1", "c2"};
-constexpr std::array<std::string_view, DataCentres> RegionNames{"a", "a", "b", "b", "c", "c"};
-constexpr std::array<std::string_view, 7> Scenarios{"quiet",  "noisy",    "stale",   "lying",
-                                                    "slow10", "failfast", "draining"};
-constexpr std::array<Deployment, 2> Deployments{Deployment{"tanzcafe", 6, {20, 10, 10}, 8},
-                                                Deployment{"condor", 3, {15, 10, 10}, 8}};
+constexpr double QuietFor = 40;                                  // ms, mean, between noisy times of a neighbour
+constexpr double NoisyFor = 20;                                  // ms, mean
+constexpr double NoisySpeed = 0.25;                              // of a target beside a noisy neighbour
 
 enum class Kind {
     Arrival,   // a: service
@@ -46,6 +33,8 @@
     Back,      // a: call
     Timeout,   // a: call
     WaitCheck, // a: entry * Services + service
+    Probe,     // a: entry * Services + service
+    ProbeBack, // a: entry, b: probe
     FaultStart // none
 };
 
@@ -92,6 +81,7 @@
     Metrics metrics;
     Balancer balancer;
     std::array<TimePoint, Services> nextCheck;
+    std::vector<Prober> probers; // one for each service, or none
 
     Entry(Clock &runClock, const BalancerOptions &options, BalancerHooks hooks)
         : balancer(runClock, metrics, options, std::move(hooks))
@@ -100,26 +90,6 @@
     }
 };
 
-Duration oneWay(size_t left, size_t right)
-{
-    if (left == right) {
-        return Duration(0);
-    }
-    return RegionNames[left] == RegionNames[right] ? WithinRegion : BetweenRegions;
-}
-
-double exponential(std::mt19937_64 &random, double mean)
-{
-    return std::exponential_distribution<double>(1 / mean)(random);
-}
-
-/// Log-normal.
-double drawWork(std::mt19937_64 &random, double mean)
-{
-    const double variance = std::log(1 + WorkSpread * WorkSpread);
-    return std::lognormal_distribution<double>(std::log(mean) - variance / 2, std::sqrt(variance))(random);
-}
-
 class Run
 {
 public:
@@ -179,7 +149,7 @@
                 if (m_options.scenario == "lying" && n % 4 == 0) {
                     options.reports = n % 8 == 0 ? Reports::SaysIdle : Reports::SaysLoaded;
                 }
-                const std::string name = std::string(ServiceNames[service]) + "/t" + std::to_string(n);
+                const std::string name = targetName(service, n);
                 Host host{FakeTarget(options), name, service, static_cast<size_t>(n) % DataCentres};
                 host.random.seed(m_options.seed * 1000 + m_hosts.size());
                 m_byName[name] = m_hosts.size();
@@ -191,32 +161,9 @@
         }
     }
 
-    Configuration configuration() const
-    {
-        Configuration n;
-        n.revision = 1;
-        for (size_t it = 0; it < DataCentres; ++it) {
-            n.dataCentres.push_back({std::string(DataCentreNames[it]), 1, std::string(RegionNames[it])});
-        }
-        n.links = {{"a--b", 1, BetweenRegions}, {"a--c", 1, BetweenRegions}, {"b--c", 1, BetweenRegions}};
-        for (const std::string_view it : ServiceNames) {
-            Service service;
-            service.name = it;
-            service.pool = it;
-            n.services.push_back(service);
-            n.pools.push_back({std::string(it), 1, {}});
-        }
-        for (const Host &it : m_hosts) {
-            const std::string name = it.name.substr(it.name.find('/') + 1);
-            n.pools[it.service].targets.push_back(
-                {name, "127.0.0.1", 1, std::string(DataCentreNames[it.dataCentre]), m_options.deployment.slots});
-        }
-        return n;
-    }
-
     void makeEntries()
     {
-        const auto shared = std::make_shared<const Configuration>(configuration());
+        const auto shared = std::make_shared<const Configuration>(configurationOf(m_options.deployment));
         for (size_t n = 0; n < Entries; ++n) {
             BalancerHooks hooks;
             hooks.pick = policyByName(m_options.policy);
@@ -232,9 +179,57 @@
             options.dataCentre = DataCentreNames[n % DataCentres];
             m_entries.push_back(std::make_unique<Entry>(m_clock, options, std::move(hooks)));
             m_entries.back()->balancer.apply(shared);
+            makeProbers(n);
         }
     }
 
+    void makeProbers(size_t entry)
+    {
+        if (m_options.probesPerSecond <= 0) {
+            return;
+        }
+        for (size_t service = 0; service < Services; ++service) {
+            ProberOptions options;
+            options.region = RegionNames[entry % DataCentres];
+            options.service = {m_options.probeBytesPerSecond, m_options.probesPerSecond};
+            options.regionPair = {m_options.probeBytesPerSecond / 4, m_options.probesPerSecond / 4};
+            ProberHooks hooks{[this, entry](std::string_view target) {
+                sendProbe(entry, target);
+            }};
+            m_entries[entry]->probers.emplace_back(options, std::move(hooks), m_start);
+            push(m_start, Kind::Probe, entry * Services + service);
+        }
+    }
+
+    void probe(size_t entry, size_t service)
+    {
+        if (now() >= m_end) {
+            return;
+        }
+        push(now() + fromMilliseconds(1000 / m_options.probesPerSecond), Kind::Probe, entry * Services + service);
+        std::vector<ProbeCandidate> candidates;
+        const std::vector<TargetStatus> known = m_entries[entry]->balancer.status(ServiceNames[service]);
+        for (const TargetStatus &it : known) {
+            const size_t there = m_hosts[m_byName.find(it.name)->second].dataCentre;
+            const Duration age = it.reported ? it.reportAge : Duration::max();
+            candidates.push_back(
+                {it.name, RegionNames[there], 2 * oneWay(entry % DataCentres, there), age, it.inFlight, it.oldestCall});
+        }
+        Prober &prober = m_entries[entry]->probers[service];
+        prober.run(candidates, now());
+        m_result.overBudget = std::max(m_result.overBudget, prober.overBudget(now()));
+    }
+
+    void sendProbe(size_t entry, std::string_view name)
+    {
+        Host &host = m_hosts[m_byName.find(name)->second];
+        const Duration way = oneWay(entry % DataCentres, host.dataCentre);
+        m_news.push_back({std::string(name), host.target.report(now()), way, false});
+        push(now() + 2 * way, Kind::ProbeBack, entry, m_news.size() - 1);
+        ++m_result.probes;
+        m_result.probeBytes += ProberOptions().probeBytes;
+    }
+
     double callsPerMs(size_t service) const
     {
         const double speed = m_noisy ? (QuietFor + NoisyFor * NoisySpeed) / (QuietFor + NoisyFor) : 1;
@@ -266,6 +261,12 @@
         case Kind::WaitCheck:
             checkWaits(event.a / Services, event.a % Services, true);
             break;
+        case Kind::Probe:
+            probe(event.a / Services, event.a % Services);
+            break;
+        case Kind::ProbeBack:
+            m_entries[event.a]->balancer.absorb({&m_news[event.b], 1});
+            break;
         case Kind::FaultStart:
             startFaults();
             break;
@@ -473,21 +474,12 @@
     std::map<std::string, size_t, std::less<>> m_byName;
     std::vector<std::unique_ptr<Entry>> m_entries;
     std::deque<Call> m_calls;
+    std::deque<LoadNews> m_news; // on their way
     RunResult m_result;
 };
 
 } // namespace
 
-std::span<const Deployment> deployments()
-{
-    return Deployments;
-}
-
-std::span<const std::string_view> scenarios()
-{
-    return Scenarios;
-}
-
 RunResult run(const RunOptions &options)
 {
     return Run(options).go();
--- a/bench/tail/driver.h
+++ b/bench/tail/driver.h
@@ -3,7 +3,7 @@
 /// Every policy of a run sees the same arrivals, the same work of each call and the same neighbours.
 #pragma once
 
-#include "base/time.h"
+#include "tail/fleet.h"
 
 #include <cstdint>
 #include <span>
@@ -13,14 +13,6 @@
 
 namespace damask::bench {
 
-/// A user's fleet of today.
-struct Deployment {
-    std::string_view name;
-    int              slots = 6;       // of each target
-    int              targets[3] = {}; // of the three services
-    double           meanWork = 8;    // ms of one call on an undisturbed target
-};
-
 struct RunOptions {
     std::string_view policy = "damask";
     std::string_view scenario = "noisy";
@@ -40,14 +32,11 @@
     uint64_t            useful = 0;   // answered within their deadline
     uint64_t            refused = 0;  // by the balancer, nothing sent
     uint64_t            attempts = 0; // sent to targets
-    uint64_t            probes = 0;   // sent while measured
+    uint64_t            probes = 0;   // sent in the whole run
     double              probeBytes = 0;
-    double              longestOverBudget = 0; // probes beyond rate and burst; never above 0
+    double              overBudget = 0; // bytes of probes beyond a budget at any time
 };
 
-std::span<const Deployment>       deployments();
-std::span<const std::string_view> scenarios();
-
 RunResult run(const RunOptions &options);
 
 double percentile(std::span<const double> sorted, double share);
--- a/bench/tail/main.cpp
+++ b/bench/tail/main.cpp
@@ -2,6 +2,7 @@
 #include "tail/driver.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <docopt.h>
 #include <map>
@@ -17,6 +18,8 @@
 Usage:
   bench-tail [--policy=LIST] [--scenario=LIST] [--load=LIST] [--deployment=LIST] [--seed=N] [--repeats=N]
              [--seconds=N]
+  bench-tail --measuring [--scenario=LIST] [--load=LIST] [--deployment=LIST] [--seed=N] [--repeats=N]
+             [--seconds=N]
   bench-tail --overload [--deployment=LIST] [--seed=N] [--repeats=N] [--seconds=N]
   bench-tail --help
 
@@ -28,6 +31,7 @@
   --seed=N           Of the first repeat; later ones count up [default: 1].
   --repeats=N        Runs of each, interleaved [default: 3].
   --seconds=N        Virtual seconds measured in each run [default: 4].
+  --measuring        Bytes and probes of each entry against the tail, for a row of budgets.
   --overload         Useful answers at three times capacity against those at capacity.
 )";
 
@@ -160,6 +164,42 @@
     }
 }
 
+constexpr std::array ProbeBudgets{0.0, 5.0, 20.0, 80.0, 320.0}; // probes a second of one entry and service
+constexpr double BytesOfProbe = 256;
+constexpr double EntryServices = 15 * 3; // budgets in a run
+
+void printMeasuring(const Labels &labels, double budget, const char *figure, const char *unit, const Spread &spread)
+{
+    std::printf("{\"case\":\"measuring\",\"figure\":\"%s\",\"unit\":\"%s\",\"value\":%.4g,\"low\":%.4g,\"high\":%.4g,"
+                "\"budget\":%.4g,\"scenario\":\"%s\",\"load\":%s,\"deployment\":\"%s\"}\n",
+                figure, unit, spread.middle, spread.low, spread.high, budget * BytesOfProbe, labels.scenario.c_str(),
+                labels.load.c_str(), labels.deployment.c_str());
+}
+
+void measureBudgets(const Labels &labels, const Arguments &arguments)
+{
+    std::map<double, std::array<std::vector<double>, 4>> figures;
+    for (long repeat = 0; repeat < arguments.at("--repeats").asLong(); ++repeat) {
+        for (const double it : ProbeBudgets) {
+            RunOptions options = optionsFor(labels, arguments, static_cast<uint64_t>(repeat));
+            options.probesPerSecond = it;
+            options.probeBytesPerSecond = it * BytesOfProbe;
+            const RunResult result = run(options);
+            const double seconds = toSeconds(options.warmUp + options.length) * EntryServices;
+            figures[it][0].push_back(result.probeBytes / seconds);
+            figures[it][1].push_back(static_cast<double>(result.probes) / seconds);
+            figures[it][2].push_back(std::max(0.0, result.overBudget));
+            figures[it][3].push_back(percentile(result.latencies, 0.99));
+        }
+    }
+    for (const auto &[budget, n] : figures) {
+        printMeasuring(labels, budget, "bytes", "B/s", spreadOf(n[0]));
+        printMeasuring(labels, budget, "probes", "1/s", spreadOf(n[1]));
+        printMeasuring(labels, budget, "over_budget", "B", spreadOf(n[2]));
+        printMeasuring(labels, budget, "p99", "ms", spreadOf(n[3]));
+    }
+}
+
 bool known(const Arguments &arguments)
 {
     for (const std::string &it : listOf(arguments, "--deployment")) {
@@ -194,7 +234,11 @@
     for (const std::string &deployment : listOf(arguments, "--deployment")) {
         for (const std::string &scenario : listOf(arguments, "--scenario")) {
             for (const std::string &load : listOf(arguments, "--load")) {
-                measurePoint({"", scenario, load, deployment}, policies, arguments);
+                if (arguments.at("--measuring").asBool()) {
+                    measureBudgets({"damask", scenario, load, deployment}, arguments);
+                } else {
+                    measurePoint({"", scenario, load, deployment}, policies, arguments);
+                }
             }
         }
     }
