--- /dev/null
+++ b/tests/route/test_balancer_faults.cpp
@@ -0,0 +1,135 @@
+// Targets that fail, stall, start cold, are cut off or come back.
+#include "fakes/fleet.h"
+
+#include <criterion/criterion.h>
+#include <map>
+
+using namespace damask;
+using namespace damask::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A refusal that comes at once and looks like an idle target.
+PermitReport fastRefusal()
+{
+    return {AttemptEnd::Refused, Code::TargetRefused, LoadReport{0, 2, false}, 503};
+}
+
+/// Calls one after another; `end` says what becomes of a call on a target, by its name.
+std::map<std::string, int> callsEnding(PausedBalancer &fixture, int calls, bool idempotent,
+                                       const std::function<PermitReport(std::string_view)> &end)
+{
+    std::map<std::string, int> counts;
+    for (int n = 0; n < calls; ++n) {
+        const auto permit = fixture.tryAcquire({.idempotent = idempotent});
+        cr_assert(permit.has_value());
+        ++counts[permit->address->name];
+        const PermitReport report = end(permit->address->name);
+        fixture.clock.advance(report.end == AttemptEnd::Answered ? 8ms : 1ms);
+        fixture.balancer.finish(*permit, report);
+    }
+    return counts;
+}
+
+PermitReport answered()
+{
+    return {AttemptEnd::Answered, Code::Ok, LoadReport{0, 2, false}, 200};
+}
+
+size_t ejectedIn(const Balancer &balancer)
+{
+    size_t n = 0;
+    for (const TargetStatus &it : balancer.status("listings")) {
+        n += it.ejected ? 1 : 0;
+    }
+    return n;
+}
+
+} // namespace
+
+Test(balancer_faults, a_target_that_fails_fast_does_not_look_fast)
+{
+    PausedBalancer fixture(fleetOf(6));
+    const auto counts = callsEnding(
+        fixture, 60, false, [](std::string_view name) { return name == "pages/t0" ? fastRefusal() : answered(); });
+    cr_assert(counts.count("pages/t0") == 0 || counts.at("pages/t0") <= 8);
+    fixture.clock.advance(30s);
+    const auto later = callsEnding(fixture, 30, false, [](std::string_view) { return answered(); });
+    cr_assert(ejectedIn(fixture.balancer) == 0 || later.count("pages/t0") == 0,
+              "only idempotent calls try an ejected target");
+}
+
+Test(balancer_faults, an_ejected_target_comes_back_by_idempotent_trials)
+{
+    Configuration configuration = fleetOf(3);
+    configuration.pools[0].targets[0].dataCentre = "n2";
+    PausedBalancer fixture(configuration);
+    const std::vector<std::string> only{"n2"};
+    for (int n = 0; n < 5; ++n) {
+        const auto permit = fixture.tryAcquire({.dataCentres = only});
+        fixture.balancer.finish(*permit, fastRefusal());
+    }
+    cr_assert(ejectedIn(fixture.balancer) == 1);
+    cr_assert(fixture.tryAcquire({.dataCentres = only, .idempotent = true}).error().code == Code::NoTarget);
+    fixture.clock.advance(20s);
+    cr_assert(fixture.tryAcquire({.dataCentres = only}).error().code == Code::NoTarget);
+    const auto trials = callsEnding(fixture, 3, true, [](std::string_view) { return answered(); });
+    cr_assert(trials.at("pages/t0") == 3);
+    cr_assert(ejectedIn(fixture.balancer) == 0);
+}
+
+Test(balancer_faults, at_most_a_third_is_ejected_when_all_fail)
+{
+    PausedBalancer fixture(fleetOf(7));
+    callsEnding(fixture, 300, false, [](std::string_view) { return fastRefusal(); });
+    cr_assert(ejectedIn(fixture.balancer) <= 2);
+}
+
+Test(balancer_faults, a_stalled_target_is_avoided_before_any_answer)
+{
+    PausedBalancer fixture(fleetOf(3, 8));
+    callsEnding(fixture, 50, false, [](std::string_view) { return answered(); });
+    const auto stalled = fixture.tryAcquire();
+    fixture.clock.advance(200ms);
+    const auto counts = callsEnding(fixture, 20, false, [](std::string_view) { return answered(); });
+    cr_assert(counts.count(stalled->address->name) == 0);
+}
+
+Test(balancer_faults, a_new_target_starts_slowly)
+{
+    Configuration configuration = fleetOf(1, 6);
+    PausedBalancer fixture(configuration);
+    ++configuration.revision;
+    configuration.pools[0].targets[0] = {"cold", "127.0.0.1", 9500, "n1", 6};
+    fixture.apply(configuration);
+    int granted = 0;
+    while (fixture.tryAcquire().has_value()) {
+        ++granted;
+    }
+    cr_assert(granted == 2, "a third of its slots");
+    fixture.clock.advance(3s);
+    while (fixture.tryAcquire().has_value()) {
+        ++granted;
+    }
+    cr_assert(granted == 6);
+}
+
+Test(balancer_faults, a_region_that_is_cut_off_loses_its_calls_to_the_others)
+{
+    Configuration configuration = fleetOf(6, 8);
+    configuration.pools[0].targets[4].dataCentre = "s1";
+    configuration.pools[0].targets[5].dataCentre = "s1";
+    PausedBalancer fixture(configuration);
+    const std::vector<std::string> south{"s1"};
+    for (int n = 0; n < 30; ++n) {
+        const auto permit = fixture.tryAcquire({.dataCentres = south});
+        cr_assert(permit.has_value() || permit.error().code == Code::NoTarget);
+        if (permit) {
+            fixture.balancer.finish(*permit, {AttemptEnd::NotSent, Code::ConnectFailed, {}, 0});
+        }
+    }
+    cr_assert(ejectedIn(fixture.balancer) == 2);
+    cr_assert(fixture.tryAcquire({.dataCentres = south}).error().code == Code::NoTarget);
+    cr_assert(fixture.tryAcquire().has_value());
+}
