--- a/scripts/lib/system.py
+++ b/scripts/lib/system.py
@@ -63,9 +63,9 @@
 
     # Starting
 
-    def start(self):
+    def start(self, with_targets=True):
         self.start_store()
-        for group in self.groups:
+        for group in self.groups if with_targets else []:
             self.start_targets(group)
         for instance in self.instances:
             self.start_keeper(instance)
@@ -175,9 +175,8 @@
 
     def refresh_versions(self):
         """Reads the versions in force from a keeper, as an operator does before the next ticket."""
-        text = http("GET", self.instances[0].keeper_operate, "/configuration", token=TOKEN)[1]
         header = None
-        for line in text.splitlines():
+        for line in self.configuration().splitlines():
             if line.startswith("["):
                 header = line[1:-1]
             elif line.startswith("based-on") and header:
@@ -278,6 +277,10 @@
 
     # Asking
 
+    def configuration(self):
+        """What is accepted, as the INI text of a ticket."""
+        return http("GET", self.instances[0].keeper_operate, "/configuration", token=TOKEN)[1]
+
     def status(self, port):
         code, text = http("GET", port, "/status", token=TOKEN)
         return json.loads(text) if code == 200 else {}
--- /dev/null
+++ b/tests/docs/test_metrics.cpp
@@ -0,0 +1,62 @@
+#include "settings/ini.h"
+
+#include <criterion/criterion.h>
+#include <filesystem>
+#include <regex>
+#include <set>
+#include <string>
+
+using namespace damask;
+
+namespace {
+
+const std::string Root = DAMASK_SOURCE_DIR;
+
+/// All names of our metrics in a text.
+std::set<std::string> namesIn(const std::string &text)
+{
+    static const std::regex Name("\\bdamask_[a-z]+_[a-z_]+\\b");
+    std::set<std::string> names;
+    for (std::sregex_iterator it(text.begin(), text.end(), Name), end; it != end; ++it) {
+        names.insert(it->str());
+    }
+    return names;
+}
+
+std::set<std::string> namesOfPrograms()
+{
+    std::set<std::string> names;
+    for (const auto &it : std::filesystem::recursive_directory_iterator(Root + "/src")) {
+        if (it.path().extension() == ".cpp") {
+            names.merge(namesIn(readFile(it.path().string()).value()));
+        }
+    }
+    return names;
+}
+
+} // namespace
+
+Test(docs, the_page_of_metrics_lists_what_programs_export_and_nothing_else)
+{
+    const std::set<std::string> exported = namesOfPrograms();
+    const std::set<std::string> listed = namesIn(readFile(Root + "/docs/operate/metrics.md").value());
+    cr_assert(exported.size() > 10);
+    for (const std::string &it : exported) {
+        cr_assert(listed.contains(it), "docs/operate/metrics.md lacks %s", it.c_str());
+    }
+    for (const std::string &it : listed) {
+        cr_assert(exported.contains(it), "docs/operate/metrics.md lists %s, which no program exports", it.c_str());
+    }
+}
+
+Test(docs, alerts_and_dashboard_use_names_that_programs_export)
+{
+    const std::set<std::string> exported = namesOfPrograms();
+    for (const char *page : {"/docs/operate/alerts.yml", "/docs/operate/dashboard.json"}) {
+        const std::set<std::string> used = namesIn(readFile(Root + page).value());
+        cr_assert(used.size() > 5);
+        for (const std::string &it : used) {
+            cr_assert(exported.contains(it), "%s uses %s, which no program exports", page, it.c_str());
+        }
+    }
+}
