--- a/src/front/drive.cpp
+++ b/src/front/drive.cpp
@@ -13,20 +13,21 @@
 
 } // namespace
 
-void FrontServer::State::drive(const ConnectionPtr &it)
+WorkerPool::Task FrontServer::State::drive(const CallerPtr &it)
 {
     while (flush(it)) {
         if (it->close) {
             linger(it);
-            return;
+            return nullptr;
         }
         const auto whole = it->reader.advance();
         account(*it);
         if (!whole) {
             refuseAndClose(*it, whole.error());
         } else if (*whole) {
-            if (startCall(it)) {
-                return;
+            WorkerPool::Task call = startCall(it);
+            if (call) {
+                return call;
             }
         } else if (heldBytes > options.maxHeldBytes && !it->reader.idle()) {
             refuseAndClose(*it, {Code::EntryBusy, "too many large requests are coming in at once"});
@@ -34,12 +35,13 @@
             it->out = Continue;
         } else {
             parkForReading(it);
-            return;
+            return nullptr;
         }
     }
+    return nullptr;
 }
 
-bool FrontServer::State::flush(const ConnectionPtr &it)
+bool FrontServer::State::flush(const CallerPtr &it)
 {
     bool moved = false;
     while (it->sent < it->out.size()) {
@@ -54,6 +56,7 @@
             if (moved || it->deadline == Never) {
                 setDeadline(*it, clock.now() + options.takeTimeout);
             }
+            account(*it);
             park(it, Phase::Writing, EPOLLOUT);
             return false;
         }
@@ -65,14 +68,14 @@
     return true;
 }
 
-void FrontServer::State::linger(const ConnectionPtr &it)
+void FrontServer::State::linger(const CallerPtr &it)
 {
     ::shutdown(it->socket.get(), SHUT_WR);
     setDeadline(*it, clock.now() + LingerTimeout);
     park(it, Phase::Lingering, EPOLLIN | EPOLLRDHUP);
 }
 
-void FrontServer::State::parkForReading(const ConnectionPtr &it)
+void FrontServer::State::parkForReading(const CallerPtr &it)
 {
     if (it->reader.idle()) {
         it->firstByteAt = Never;
@@ -86,7 +89,7 @@
 }
 
 /// Gives the connection up until one of the events. False when it is idle while the front stops.
-bool FrontServer::State::park(const ConnectionPtr &it, Phase phase, uint32_t wanted)
+bool FrontServer::State::park(const CallerPtr &it, Phase phase, uint32_t wanted)
 {
     LockGuard lock(mutex);
     const bool idle = phase == Phase::Reading && it->reader.idle();
@@ -99,7 +102,7 @@
     return true;
 }
 
-void FrontServer::State::close(const ConnectionPtr &it)
+void FrontServer::State::close(const CallerPtr &it)
 {
     setDeadline(*it, Never);
     heldBytes -= it->heldBytes;
@@ -112,13 +115,13 @@
 }
 
 /// Each byte that has come buys some time, so that a large body on a slow line is taken and a trickle is not.
-TimePoint FrontServer::State::readDeadline(const Connection &it) const
+TimePoint FrontServer::State::readDeadline(const CallerConnection &it) const
 {
     const double bought = static_cast<double>(it.heldBytes) / static_cast<double>(options.leastBytesPerSecond);
     return it.firstByteAt + options.sendTimeout + fromMilliseconds(bought * 1000);
 }
 
-void FrontServer::State::setDeadline(Connection &it, TimePoint deadline)
+void FrontServer::State::setDeadline(CallerConnection &it, TimePoint deadline)
 {
     if (it.deadline != deadline) {
         it.deadline = deadline;
@@ -126,10 +129,10 @@
     }
 }
 
-/// Counts what the connection holds of an incomplete request.
-void FrontServer::State::account(Connection &it)
+/// Counts what the connection holds of an incomplete request and of an answer not yet taken.
+void FrontServer::State::account(CallerConnection &it)
 {
-    const size_t now = it.reader.heldBytes();
+    const size_t now = it.reader.heldBytes() + it.out.size();
     heldBytes += now - it.heldBytes; // wraps round when it shrank, and so subtracts
     it.heldBytes = now;
 }
--- a/src/front/poller.cpp
+++ b/src/front/poller.cpp
@@ -1,5 +1,6 @@
 #include "front/state.h"
 
+#include "base/check.h"
 #include "base/log.h"
 #include "front/translate.h"
 
@@ -17,19 +18,52 @@
 
 } // namespace
 
+/// Polls until a call comes in, then lets another worker poll and serves the call itself: so a call that comes alone,
+/// as most do, is not handed from thread to thread.
 void FrontServer::State::poll()
 {
     std::array<epoll_event, EventsAtOnce> buf{};
-    while (!done) {
-        const auto given = events.wait(buf);
-        wakeUps.Increment();
-        ++wakeUpCount;
-        for (const epoll_event &it : given) {
-            onEvent(it);
-        }
+    while (!done && started.empty()) {
+        pollFrom(buf);
+    }
+    if (started.empty()) {
+        return;
+    }
+    const WorkerPool::Task own = std::move(started.back());
+    started.pop_back();
+    for (WorkerPool::Task &it : started) {
+        submit(std::move(it));
+    }
+    started.clear();
+    submit([this] { poll(); });
+    own();
+}
+
+void FrontServer::State::pollFrom(std::span<epoll_event> buf)
+{
+    const auto given = events.wait(buf);
+    wakeUps.Increment();
+    ++wakeUpCount;
+    for (const epoll_event &it : given) {
+        onEvent(it);
     }
 }
 
+/// Drives a connection on; a call that this begins is served once all events at hand were handled.
+void FrontServer::State::advance(const CallerPtr &it)
+{
+    WorkerPool::Task call = drive(it);
+    if (call) {
+        started.push_back(std::move(call));
+    }
+}
+
+void FrontServer::State::submit(WorkerPool::Task task)
+{
+    const auto taken = workers.submit(std::move(task));
+    DAMASK_ASSERT(taken.has_value(), "admission lets in no more calls than the pool has workers");
+}
+
 void FrontServer::State::onEvent(const epoll_event &event)
 {
     if (event.data.u64 == EventPoll::WakeId) {
@@ -41,7 +75,7 @@
         return;
     }
     Phase phase = Phase::Reading;
-    const ConnectionPtr it = find(event.data.u64, phase);
+    const CallerPtr it = find(event.data.u64, phase);
     if (!it) {
         return;
     }
@@ -50,7 +84,7 @@
         onReadable(it);
         break;
     case Phase::Writing:
-        drive(it);
+        advance(it);
         break;
     case Phase::Lingering:
         onLingering(it);
@@ -91,7 +125,7 @@
         acceptAll();
         return;
     }
-    ConnectionPtr it;
+    CallerPtr it;
     Phase phase = Phase::Serving;
     {
         LockGuard lock(mutex);
@@ -108,7 +142,7 @@
     it->deadline = Never;
     if (phase == Phase::Reading && !it->reader.idle()) {
         refuseAndClose(*it, {Code::SlowSender, "the whole request did not come in time"});
-        drive(it);
+        advance(it);
     } else if (phase == Phase::Reading) {
         if (!hasInput(it->socket.get())) {
             linger(it);
@@ -118,7 +152,7 @@
     }
 }
 
-void FrontServer::State::onReadable(const ConnectionPtr &it)
+void FrontServer::State::onReadable(const CallerPtr &it)
 {
     const Transfer got = receiveInto(it->socket.get(), readBuffer);
     if (got.end == TransferEnd::Closed) {
@@ -131,10 +165,10 @@
         }
         it->reader.append(std::string_view(readBuffer.data(), got.bytes));
     }
-    drive(it);
+    advance(it);
 }
 
-void FrontServer::State::onLingering(const ConnectionPtr &it)
+void FrontServer::State::onLingering(const CallerPtr &it)
 {
     const Transfer got = receiveInto(it->socket.get(), readBuffer);
     if (got.end == TransferEnd::Closed) {
@@ -170,7 +204,7 @@
 {
     const uint64_t id = nextId++;
     const auto it =
-        std::make_shared<Connection>(id, std::move(accepted.socket), std::move(accepted.peer), options.limits);
+        std::make_shared<CallerConnection>(id, std::move(accepted.socket), std::move(accepted.peer), options.limits);
     size_t open = 0;
     {
         LockGuard lock(mutex);
@@ -188,12 +222,12 @@
     if (open >= options.maxConnections) {
         refuseAndClose(*it, {Code::TooManyConnections, "come back later, or to another entry"});
     }
-    drive(it);
+    advance(it);
 }
 
 void FrontServer::State::closeIdle()
 {
-    std::vector<ConnectionPtr> idle;
+    std::vector<CallerPtr> idle;
     {
         LockGuard lock(mutex);
         for (const auto &[id, it] : connections) {
@@ -202,7 +236,7 @@
             }
         }
     }
-    for (const ConnectionPtr &it : idle) {
+    for (const CallerPtr &it : idle) {
         if (it->requests == 0) {
             setDeadline(*it, clock.now() + FreshGrace); // its first request may be on the way
         } else if (!hasInput(it->socket.get())) {
@@ -211,9 +245,9 @@
     }
 }
 
-ConnectionPtr FrontServer::State::find(uint64_t id, Phase &phase)
+CallerPtr FrontServer::State::find(uint64_t id, Phase &phase)
 {
-    ConnectionPtr it;
+    CallerPtr it;
     std::shared_ptr<CancelToken> cancel;
     {
         LockGuard lock(mutex);
--- a/src/route/service_table.h
+++ b/src/route/service_table.h
@@ -83,6 +83,7 @@
     TargetView   viewOf(const TargetEntry &entry, TimePoint now) const;
     TargetEntry *trialFor(const AcquireRequest &request, TimePoint now);
     bool         hurry(TimePoint now) const;
+    Duration     reportHalfLife() const;
     void         learn(TargetEntry &entry, const Permit &permit, const PermitReport &report, TimePoint now);
     void         learnAnswer(TargetEntry &entry, const Permit &permit, TimePoint now);
     void         learnFailure(TargetEntry &entry, TimePoint now);
@@ -111,6 +112,7 @@
     int                                       m_inFlight = 0;
     size_t                                    m_ejected = 0; // targets out, with those on trial
     TimePoint                                 m_heardAt{};   // of the last answer, or grant without one
+    int                                       m_credit = 0;  // one call may replace one that just ended
     bool                                      m_retired = false;
 };
 
--- a/src/store/document_watch.cpp
+++ b/src/store/document_watch.cpp
@@ -48,10 +48,15 @@
         if (entry.error().code != Code::NotFound) {
             return 0;
         }
-        hooks.changed(VersionedDocument{}, codec.encode(ControlDocument{}));
+        takeNone();
         return 1;
     }
 
+    void takeNone() const
+    {
+        hooks.changed(VersionedDocument{}, codec.encode(ControlDocument{}));
+    }
+
     void follow(CancelToken &token)
     {
         const uint64_t from = catchUp();
@@ -65,6 +70,8 @@
                 [this](const StoreEvent &event) {
                     if (event.entry) {
                         take(*event.entry);
+                    } else {
+                        takeNone();
                     }
                 },
             .alive = [this] { backoff.reset(); },
--- a/src/wire/keys.cpp
+++ b/src/wire/keys.cpp
@@ -74,4 +74,20 @@
     return it != m_keys.end() && it->second.retired;
 }
 
+bool KeyTable::current(std::string_view publicKey) const
+{
+    LockGuard lock(m_mutex);
+    const auto it = m_keys.find(publicKey);
+    return it != m_keys.end() && !it->second.retired;
+}
+
+const KeyPair &activeSlot(const KeyTable &keys, const KeyPair &slotA, const KeyPair &slotB)
+{
+    if (slotB.empty() || keys.retired(slotB.publicKey)) {
+        return slotA;
+    }
+    const bool onlyB = keys.current(slotB.publicKey) && !keys.current(slotA.publicKey);
+    return onlyB || keys.retired(slotA.publicKey) ? slotB : slotA;
+}
+
 } // namespace damask
--- a/src/wire/keys.h
+++ b/src/wire/keys.h
@@ -41,6 +41,7 @@
     bool         replace(std::span<const PeerKey> keys);  // from the accepted configuration; true: one was retired anew
     Result<void> admit(std::string_view publicKey) const; // StrangerRefused, StaleKey with the key's name
     bool         retired(std::string_view publicKey) const;
+    bool         current(std::string_view publicKey) const; // a ticket has made it known, and none has retired it
 
 private:
     mutable RankedMutex                         m_mutex{LockRank::Leaf};
@@ -48,4 +49,7 @@
     std::map<std::string, PeerKey, std::less<>> m_keys; // by public key
 };
 
+/// Which of the two slots to talk to other keepers with: a, unless it is retired or only b's key is current.
+const KeyPair &activeSlot(const KeyTable &keys, const KeyPair &slotA, const KeyPair &slotB);
+
 } // namespace damask
