--- a/src/programs/damask-keeper/keeper.cpp
+++ b/src/programs/damask-keeper/keeper.cpp
@@ -137,10 +137,9 @@
 
     WirePeer peerAt(std::string_view address) const
     {
-        if (!options.slotB.empty() && keys.retired(options.slotA.publicKey)) {
-            return {slotBAddress(address), options.slotB.publicKey, options.slotB};
-        }
-        return {std::string(address), options.slotA.publicKey, options.slotA};
+        const KeyPair &pair = activeSlot(keys, options.slotA, options.slotB);
+        const bool first = &pair == &options.slotA;
+        return {first ? std::string(address) : slotBAddress(address), pair.publicKey, pair};
     }
 
     void note(const Result<void> &sent)
--- a/tests/programs/test_keeper.cpp
+++ b/tests/programs/test_keeper.cpp
@@ -184,6 +184,8 @@
     cr_assert(eventually(restored));
     cr_assert(fleet.metrics.front()->text().find("damask_keeper_document_refusals_total{code=\"OlderRevision\"}")
               != std::string::npos);
+    fleet.service.keys().remove(put.key);
+    cr_assert(eventually(restored), "a key that was deleted comes back, too");
     cr_assert(entry.revision == 2 && !entry.reverted);
 }
 
--- a/tests/wire/test_node.cpp
+++ b/tests/wire/test_node.cpp
@@ -118,3 +118,19 @@
     cr_assert(checkKeyPair({one.publicKey, other.secretKey}).error().code == Code::BadSettings);
     cr_assert(checkKeyPair({"short", one.secretKey}).error().code == Code::BadSettings);
 }
+
+Test(keys, the_slot_in_use_follows_the_tickets_in_turn)
+{
+    const KeyPair spring = *makeKeyPair();
+    const KeyPair summer = *makeKeyPair();
+    const KeyPair autumn = *makeKeyPair();
+    KeyTable keys;
+    const KeyPair none;
+    cr_assert(activeSlot(keys, spring, none) == spring);
+    cr_assert(activeSlot(keys, spring, summer) == spring, "no ticket has named the next one yet");
+    keys.replace(std::vector<PeerKey>{{"spring", 2, spring.publicKey, true}, {"summer", 1, summer.publicKey, false}});
+    cr_assert(activeSlot(keys, spring, summer) == summer);
+    cr_assert(activeSlot(keys, autumn, summer) == summer, "slot a holds the one after it");
+    keys.replace(std::vector<PeerKey>{{"summer", 2, summer.publicKey, true}, {"autumn", 1, autumn.publicKey, false}});
+    cr_assert(activeSlot(keys, autumn, summer) == autumn);
+}
