Tell in words why a call went where it did, and what a ticket need not name

Cause: damaskctl why printed raw JSON; a whole export submitted again raises every version and makes others' tickets stale. Change: why in lines, a call and its attempts; ticket check names what is stated as it is already. Conclusion: a newcomer can read both.

--- a/src/config/apply.cpp
+++ b/src/config/apply.cpp
@@ -106,6 +106,22 @@
     return common;
 }
 
+std::vector<std::string> unchangedBy(const Configuration &configuration, const Ticket &ticket)
+{
+    std::vector<std::string> out;
+    forEachKind([&]<class T>() {
+        for (const Change<T> &it : ticket.*Kind<T>::Changes) {
+            const T *current = findNamed(configuration.*Kind<T>::Things, it.next.name);
+            T stated = it.next;
+            stated.version = current == nullptr ? 0 : current->version;
+            if (current != nullptr && !it.remove && stated == *current) {
+                out.push_back(std::string(Kind<T>::Word) + " " + it.next.name);
+            }
+        }
+    });
+    return out;
+}
+
 Ticket ticketBack(const Configuration &before, const Configuration &after)
 {
     Ticket ticket;
--- a/src/config/apply.h
+++ b/src/config/apply.h
@@ -20,6 +20,9 @@
 /// True when two tickets name a thing in common.
 bool touchInCommon(const Ticket &first, const Ticket &second);
 
+/// Names of things that the ticket states as they are already: "pool p". Leaving them out makes no others stale.
+std::vector<std::string> unchangedBy(const Configuration &configuration, const Ticket &ticket);
+
 /// The ticket that takes back what changed from before to after, built on the versions of after. Its head is empty.
 Ticket ticketBack(const Configuration &before, const Configuration &after);
 
--- a/src/control/ticket_decision.cpp
+++ b/src/control/ticket_decision.cpp
@@ -111,6 +111,7 @@
     }
     plan.next = std::move(*next);
     plan.diff = diff(document.accepted, plan.next);
+    plan.unchanged = unchangedBy(document.accepted, ticket);
     plan.effect = effectOf(document.accepted, plan.next);
     if (!plan.effect.losesAll.empty() && !ticket.allowCapacityLoss) {
         plan.code = Code::TicketLosesCapacity;
--- a/src/control/ticket_decision.h
+++ b/src/control/ticket_decision.h
@@ -32,6 +32,7 @@
     Code                     code = Code::Ok; // with which submit() would refuse it now
     std::string              detail;          // why, with all errors
     std::vector<std::string> diff;            // from the accepted configuration
+    std::vector<std::string> unchanged;       // things that the ticket states as they are already
     Effect                   effect;
     Configuration            next; // valid with code Ok
 };
--- a/src/programs/damask-keeper/ticket_routes.cpp
+++ b/src/programs/damask-keeper/ticket_routes.cpp
@@ -104,6 +104,7 @@
     Json json = codeJson(plan.code, plan.detail);
     json["number"] = plan.number;
     json["diff"] = plan.diff;
+    json["unchanged"] = plan.unchanged;
     json["effect"] = describeEffect(plan.effect);
     return json;
 }
--- a/src/programs/damaskctl/commands.cpp
+++ b/src/programs/damaskctl/commands.cpp
@@ -193,7 +193,7 @@
     {
         const std::string query = m_line.request.empty() ? "service=" + percentEncoded(m_line.service)
                                                          : "request=" + percentEncoded(m_line.request);
-        return get(m_line.entry, "/why?" + query, asItIs);
+        return get(m_line.entry, "/why?" + query, renderWhy);
     }
 
     /// Submits, again while another ticket is staged, and waits until it has ended. Sending the same ticket again is
--- a/src/programs/damaskctl/render.cpp
+++ b/src/programs/damaskctl/render.cpp
@@ -3,6 +3,7 @@
 #include "base/result.h"
 #include "programs/damaskctl/advice.h"
 
+#include <cstdio>
 #include <ctime>
 #include <nlohmann/json.hpp>
 
@@ -90,6 +91,47 @@
     return out;
 }
 
+std::string msText(const Json &json, const char *key)
+{
+    const auto it = json.find(key);
+    char buf[32];
+    std::snprintf(buf, sizeof buf, "%.1f ms", it != json.end() && it->is_number() ? it->get<double>() : 0.0);
+    return buf;
+}
+
+std::string attemptText(const Json &attempt)
+{
+    const std::string code = textOf(attempt, "name");
+    return "  " + textOf(attempt, "target") + ": " + textOf(attempt, "end") + (code.empty() ? "" : " " + code)
+           + ", waited " + msText(attempt, "waitedMs") + " for a slot, took " + msText(attempt, "elapsedMs") + "\n";
+}
+
+/// One call of an entry's /why: its outcome, then each attempt.
+std::string callText(const Json &call)
+{
+    const std::string code = textOf(call, "name");
+    std::string out = "call " + textOf(call, "requestId") + ": " + textOf(call, "outcome")
+                      + (code.empty() ? "" : " " + code) + " after " + msText(call, "tookMs") + " of "
+                      + msText(call, "allowedMs") + ", service " + textOf(call, "service") + " by rule "
+                      + textOf(call, "rule") + ", effective revision " + std::to_string(numberOf(call, "revision"))
+                      + "\n";
+    for (const Json &it : listOf(call, "attempts")) {
+        out += it.is_object() ? attemptText(it) : "";
+    }
+    return out;
+}
+
+std::string unchangedText(const Json &plan)
+{
+    std::string names;
+    for (const Json &it : listOf(plan, "unchanged")) {
+        names += it.is_string() ? (names.empty() ? "" : ", ") + it.get<std::string>() : "";
+    }
+    return names.empty()
+               ? ""
+               : "Stated as they are already; leave them out, so that others' tickets stay valid:\n  " + names + "\n";
+}
+
 } // namespace
 
 std::string renderShown(std::string_view json, int64_t now)
@@ -136,12 +178,26 @@
     std::string out = "Changes:\n" + lines(listOf(plan, "diff"), "  ");
     const std::string effect = lines(listOf(plan, "effect"), "  ");
     out += "Effect:\n" + (effect.empty() ? "  no target loses work, all capacity stays\n" : effect);
+    out += unchangedText(plan);
     if (numberOf(plan, "code") != 0) {
         return out + "It would be refused: " + failureText(plan);
     }
     return out + "It would be taken. Nothing has been changed yet: submit it with `damaskctl ticket submit FILE`.\n";
 }
 
+std::string renderWhy(std::string_view json)
+{
+    const Json calls = Json::parse(json, nullptr, false);
+    if (!calls.is_array()) {
+        return std::string(json);
+    }
+    std::string out;
+    for (const Json &it : calls) {
+        out += it.is_object() ? callText(it) : "";
+    }
+    return out.empty() ? "no such call is kept; entries keep the last few thousand\n" : out;
+}
+
 std::string renderFailure(std::string_view json)
 {
     const Json failure = parse(json);
--- a/tests/programs/test_damaskctl.cpp
+++ b/tests/programs/test_damaskctl.cpp
@@ -139,6 +139,19 @@
     cr_assert(it.asks.front().to.port == 9);
 }
 
+Test(damaskctl, why_tells_each_call_and_attempt)
+{
+    const std::string text =
+        renderWhy(R"([{"requestId": "r1", "service": "s", "rule": "all", "revision": 4, "outcome": "answered",
+                       "allowedMs": 2000, "tookMs": 21.25, "attempts": [{"target": "p/a", "end": "answered",
+                       "waitedMs": 0.5, "elapsedMs": 20}]}, 7])");
+    cr_assert(text
+                  == "call r1: answered after 21.2 ms of 2000.0 ms, service s by rule all, effective revision 4\n"
+                     "  p/a: answered, waited 0.5 ms for a slot, took 20.0 ms\n",
+              "%s", text.c_str());
+    cr_assert(renderWhy("[]").find("no such call") == 0);
+}
+
 Test(damaskctl, an_answer_that_is_no_json_stops_nothing)
 {
     FakePort it;
--- a/tests/programs/test_damaskctl_path.cpp
+++ b/tests/programs/test_damaskctl_path.cpp
@@ -83,6 +83,8 @@
     it.desk.accept(1);
     it.run({"ticket", "submit", "t.ini"}, poolTicket(2, 1, DrainB));
     it.desk.accept(2);
+    cr_assert(it.run({"ticket", "check", "t.ini"}, poolTicket(3, 2, DrainB)) == ExitOk);
+    cr_assert(it.says("leave them out, so that others' tickets stay valid:\n  pool listings\n"), "%s", it.out.c_str());
     cr_assert(it.run({"ticket", "revert-of", "2"}) == ExitOk);
     const std::string back = it.out;
     cr_assert(it.run({"ticket", "diff", "-"}, back) == ExitOk);
