--- a/src/programs/damaskctl/render.cpp
+++ b/src/programs/damaskctl/render.cpp
@@ -101,7 +101,7 @@
 
 std::string attemptText(const Json &attempt)
 {
-    const std::string code = textOf(attempt, "name");
+    const std::string code = textOf(attempt, "codeName");
     return "  " + textOf(attempt, "target") + ": " + textOf(attempt, "end") + (code.empty() ? "" : " " + code)
            + ", waited " + msText(attempt, "waitedMs") + " for a slot, took " + msText(attempt, "elapsedMs") + "\n";
 }
@@ -109,7 +109,7 @@
 /// One call of an entry's /why: its outcome, then each attempt.
 std::string callText(const Json &call)
 {
-    const std::string code = textOf(call, "name");
+    const std::string code = textOf(call, "codeName");
     std::string out = "call " + textOf(call, "requestId") + ": " + textOf(call, "outcome")
                       + (code.empty() ? "" : " " + code) + " after " + msText(call, "tookMs") + " of "
                       + msText(call, "allowedMs") + ", service " + textOf(call, "service") + " by rule "
--- a/tests/programs/test_damaskctl.cpp
+++ b/tests/programs/test_damaskctl.cpp
@@ -149,6 +149,8 @@
                   == "call r1: answered after 21.2 ms of 2000.0 ms, service s by rule all, effective revision 4\n"
                      "  p/a: answered, waited 0.5 ms for a slot, took 20.0 ms\n",
               "%s", text.c_str());
+    cr_assert(renderWhy(R"([{"requestId": "r2", "outcome": "not run", "code": 104, "codeName": "QueueFull"}])")
+                  .starts_with("call r2: not run QueueFull after"));
     cr_assert(renderWhy("[]").find("no such call") == 0);
 }
 
