--- /dev/null
+++ b/tests/stress/dispatcher.cpp
@@ -0,0 +1,150 @@
+/// Many callers at once on one dispatcher with hedges, cancels and losses; each answer is held against its caller.
+#include "route/dispatcher.h"
+#include "base/check.h"
+#include "base/log.h"
+#include "base/random.h"
+#include "base/worker_pool.h"
+#include "fakes/fake_back.h"
+
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <string>
+
+using namespace damask;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int Callers = 8;
+constexpr int CallsEach = 1500;
+constexpr uint64_t Seed = 20261204;
+
+/// A target that answers late at times, and hears cancels while it waits.
+class SlowTarget
+{
+public:
+    explicit SlowTarget(Clock &clock)
+        : m_clock(clock)
+        , m_changed(clock)
+    {
+    }
+    AttemptResult send(const Attempt &it, uint64_t chance)
+    {
+        if (chance % 8 == 0) {
+            waitFor(*it.cancel, chance % 3 * 1ms);
+        }
+        if (it.cancel->cancelled()) {
+            return ended(AttemptEnd::Lost, Code::Cancelled);
+        }
+        if (chance % 11 == 0) {
+            return ended(AttemptEnd::Lost, Code::ConnectionLost);
+        }
+        return chance % 13 == 0 ? ended(AttemptEnd::NotSent, Code::ConnectFailed) : answered(200, it.request.requestId);
+    }
+
+private:
+    void waitFor(CancelToken &cancel, Duration time)
+    {
+        const uint64_t watch = cancel.onCancel([this] {
+            LockGuard lock(m_mutex);
+            m_changed.notifyAll();
+        });
+        {
+            LockGuard lock(m_mutex);
+            const TimePoint until = m_clock.now() + time;
+            while (!cancel.cancelled() && m_changed.waitUntil(lock, until)) { }
+        }
+        cancel.forget(watch);
+    }
+
+    Clock &m_clock;
+    RankedMutex m_mutex{LockRank::Control};
+    Condition m_changed;
+};
+
+Configuration hedged()
+{
+    Configuration out = oneService();
+    out.services[0].hedge = true;
+    out.services[0].hedgeAfter = 500us;
+    out.services[0].retryRatio = 1;
+    return out;
+}
+
+struct Tally {
+    std::atomic<int> answered{0};
+    std::atomic<int> notRun{0};
+    std::atomic<int> unknown{0};
+};
+
+void call(Dispatcher &dispatcher, Clock &clock, WorkerPool &cancels, Tally &tally, const std::string &id,
+          uint64_t chance)
+{
+    CallRequest it = request(chance % 3 == 0 ? "POST" : "GET");
+    it.requestId = id;
+    it.arrivedAt = clock.now();
+    const auto token = std::make_shared<CancelToken>();
+    if (chance % 17 == 0) {
+        (void)cancels.submit([token] { token->cancel(); });
+    }
+    const Answer got = dispatcher.dispatch(it, *token);
+    DAMASK_ASSERT(got.outcome != Outcome::Answered || got.body == id, "a caller gets its own answer");
+    ++(got.outcome == Outcome::Answered ? tally.answered
+       : got.outcome == Outcome::NotRun ? tally.notRun
+                                        : tally.unknown);
+    DAMASK_ASSERT(!dispatcher.why(id).empty(), "a call that just ended is in the ring");
+}
+
+} // namespace
+
+int main()
+{
+    setLogLevel(Severity::Error);
+    Clock clock;
+    Metrics metrics;
+    FakeBack back;
+    SlowTarget target(clock);
+    const RandomSource shared = seededRandom(Seed);
+    RankedMutex randomMutex(LockRank::Leaf);
+    WorkerPool beside(clock, {.name = "beside", .threads = 4, .queueLimit = 16});
+    WorkerPool cancels(clock, {.name = "cancels", .threads = 2, .queueLimit = 4096});
+    Tally tally;
+    DispatcherHooks hooks = back.hooks([&](const Attempt &it) {
+        uint64_t chance = 0;
+        {
+            LockGuard lock(randomMutex);
+            chance = shared();
+        }
+        return target.send(it, chance);
+    });
+    hooks.runBeside = [&beside](std::function<void()> task) {
+        return beside.submit(std::move(task)).has_value();
+    };
+    {
+        Dispatcher dispatcher(clock, metrics, {}, hooks);
+        dispatcher.apply(std::make_shared<Configuration>(hedged()));
+        std::vector<Thread> threads;
+        for (int n = 0; n < Callers; ++n) {
+            threads.emplace_back("caller", [&, n] {
+                const RandomSource random = seededRandom(Seed + static_cast<uint64_t>(n));
+                for (int it = 0; it < CallsEach; ++it) {
+                    call(dispatcher, clock, cancels, tally, std::to_string(n) + "-" + std::to_string(it), random());
+                }
+            });
+        }
+        threads.emplace_back("apply", [&] {
+            for (uint64_t n = 2; n < 200; ++n) {
+                Configuration next = hedged();
+                next.revision = n;
+                dispatcher.apply(std::make_shared<Configuration>(next));
+            }
+        });
+        threads.clear();
+    }
+    DAMASK_ASSERT(tally.answered + tally.notRun + tally.unknown == Callers * CallsEach, "each call ends once");
+    const double won = metrics.counter("damask_hedges_total", {{"end", "won"}}).Value();
+    std::printf("%d answered, %d not run, %d unknown, %.0f hedges won\n", tally.answered.load(), tally.notRun.load(),
+                tally.unknown.load(), won);
+    return 0;
+}
