Never cut a connection under its next user, and end a mutex before it is let go

Cause: ThreadSanitizer saw a mutex read after its unlock, when another thread had destroyed it; reading on, a cancel after an answer could cut a connection that was already given back, and a status line of 60 kB went to a recursive std::regex. Change: unlock pops the rank first; the cancel's watch is dropped before the connection is given back; a status line over 1 kB is refused.

--- a/src/back/exchange.cpp
+++ b/src/back/exchange.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr size_t MaxHeadBytes = 64UL * 1024; // of an answer's head
+constexpr size_t MaxStatusLine = 1024;       // bytes; the library matches it with a recursive std::regex
 constexpr size_t BufferBytes = 16UL * 1024;  // read from the socket at once
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr std::string_view ChunksEnd = "0\r\n\r\n";
@@ -109,7 +110,8 @@
                 m_head.clear();
             }
         }
-        if (m_head.size() > MaxHeadBytes) {
+        const bool longLine = m_head.size() > MaxStatusLine && m_head.find('\n') == std::string::npos;
+        if (longLine || m_head.size() > MaxHeadBytes) {
             m_code = Code::AnswerTooLarge;
         }
     }
--- a/src/back/sender.cpp
+++ b/src/back/sender.cpp
@@ -4,7 +4,6 @@
 #include "back/exchange.h"
 #include "back/load_report.h"
 #include "back/request_head.h"
-#include "base/scope.h"
 
 #include <utility>
 
@@ -85,7 +84,6 @@
 {
     const std::shared_ptr<Connection> connection = lease.connection;
     const uint64_t watch = attempt.cancel->onCancel([connection] { connection->cut(); });
-    const ScopeGuard unwatch([&] { attempt.cancel->forget(watch); });
     const TimePoint began = clock.now();
     const std::string head = requestHead(attempt, deadline - began);
     ExchangeResult result = exchange(*connection, clock,
@@ -94,9 +92,12 @@
                                       .body = attempt.request.body,
                                       .deadline = deadline,
                                       .maxAnswerBytes = options.maxAnswerBytes});
+    // Before the connection is given back: a later cancel must not cut it under its next user.
+    attempt.cancel->forget(watch);
+    const bool cancelled = attempt.cancel->cancelled();
     out.end = endOf(result);
     out.code = result.code;
-    if (result.code != Code::Ok && attempt.cancel->cancelled()) {
+    if (result.code != Code::Ok && cancelled) {
         out.code = Code::Cancelled;
     } else if (out.end == AttemptEnd::NotSent) {
         out.code = Code::ConnectFailed;
@@ -105,8 +106,7 @@
         table.retireIdle(lease.key, began);
         metrics.count("damask_back_silent_connections_total");
     }
-    const bool reusable = result.reusable && !attempt.cancel->cancelled();
-    if (reusable) {
+    if (result.reusable && !cancelled) {
         table.give(std::move(lease));
     } else {
         table.drop(std::move(lease));
--- a/src/base/lock.cpp
+++ b/src/base/lock.cpp
@@ -73,8 +73,8 @@
 
 void RankedMutex::unlock()
 {
+    popRank(m_rank); // first: once unlocked, another thread may destroy this mutex
     pthread_mutex_unlock(&m_mutex);
-    popRank(m_rank);
 }
 
 LockGuard::LockGuard(RankedMutex &mutex)
--- a/src/route/dispatcher_hedge.cpp
+++ b/src/route/dispatcher_hedge.cpp
@@ -107,7 +107,7 @@
         --tasks;
         tasksChanged.notifyAll();
     });
-    return hooks.runBeside([task = std::move(task), done] { task(); });
+    return hooks.runBeside([done, task = std::move(task)] { task(); });
 }
 
 } // namespace damask
--- a/tests/back/test_sender.cpp
+++ b/tests/back/test_sender.cpp
@@ -130,6 +130,7 @@
     expectClosed("HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n", Code::BadAnswer);
     expectClosed("", Code::ConnectionLost, true);
     expectClosed(wholeAnswer(std::string(1001, 'x')), Code::AnswerTooLarge);
+    expectClosed("HTTP/1.1 200 " + std::string(60000, 'x') + "\r\n\r\n", Code::AnswerTooLarge);
     expectClosed("HTTP/1.1 200 OK\r\nX-Big: " + std::string(70000, 'x') + "\r\n", Code::AnswerTooLarge);
 }
 
