--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -3,6 +3,7 @@
 #include "front/state.h"
 
 #include "base/check.h"
+#include "base/log.h"
 
 #include <utility>
 
@@ -10,8 +11,11 @@
 
 namespace {
 
-constexpr size_t ReadBytes = 64 * 1024; // taken from a connection at once
-constexpr uint64_t ListenerId = 1;      // of the listening socket among the events
+constexpr size_t ReadBytes = 64 * 1024;   // taken from a connection at once
+constexpr size_t SpareDescriptors = 1000; // for targets, control and operators
+constexpr double LogLinesPerSecond = 5;   // on refused requests; the counters tell of all
+constexpr double LogBurst = 20;           // such lines at once
+constexpr uint64_t ListenerId = 1;        // of the listening socket among the events
 
 } // namespace
 
@@ -29,9 +33,10 @@
     , openConnections(m.gauge("damask_front_connections"))
     , readBuffer(ReadBytes)
     , nextId(ListenerId + 1)
+    , logBudget({.perSecond = LogLinesPerSecond, .burst = LogBurst}, c.now())
     , changed(c)
     , timer(c, [this] { events.wake(); })
-    , workers(c, {.name = "front-worker", .threads = o.admission.workers, .queueLimit = o.admission.workers})
+    , workers(c, {.name = "front-worker", .threads = o.admission.workers + 1, .queueLimit = o.admission.workers + 1})
 {
 }
 
@@ -52,12 +57,20 @@
     if (!listener) {
         return tl::make_unexpected(listener.error());
     }
+    const size_t descriptors = raiseDescriptorLimit();
+    if (descriptors < state.options.maxConnections + SpareDescriptors) {
+        logEvent(Severity::Warning, "few-descriptors",
+                 {{"limit", static_cast<uint64_t>(descriptors)},
+                  {"maxConnections", static_cast<uint64_t>(state.options.maxConnections)},
+                  {"advice", "raise the limit of open files, or lower max-connections"}});
+    }
     state.port = boundPort(listener->get());
     state.listener = std::move(*listener);
     state.listening = true;
     const bool added = state.events.add(state.listener.get(), ListenerId, EPOLLIN);
     DAMASK_ASSERT(added, "raise the limit of open files: the listener can't be polled");
-    state.poller = Thread("front-poller", [&state] { state.poll(); });
+    state.running = true;
+    state.submit([&state] { state.poll(); });
     return {};
 }
 
@@ -69,7 +82,7 @@
 void FrontServer::stop()
 {
     State &state = *m_state;
-    if (!state.poller.running()) {
+    if (!std::exchange(state.running, false)) {
         return;
     }
     leave();
@@ -86,7 +99,6 @@
     }
     state.done = true;
     state.events.wake();
-    state.poller.join();
     state.workers.drain();
 }
 
--- a/src/front/server.h
+++ b/src/front/server.h
@@ -1,7 +1,7 @@
 /// The callers' HTTP port: whole requests in, each handed to a worker; whole answers out.
 ///
 /// Use: `FrontServer front(clock, metrics, options, handler); front.start(); ... front.leave(); front.stop();`
-/// One thread polls all connections. A connection costs no thread and no wake-up while it is idle, sends its
+/// One thread at a time polls all connections. A connection costs no thread and no wake-up while it is idle, sends its
 /// request slowly or takes its answer slowly: a worker has it only while the handler runs.
 #pragma once
 
@@ -26,7 +26,7 @@
     uint16_t         port = 0;                               // TCP; 0: any free one
     int              backlog = 1024;                         // connections that wait to be accepted
     size_t           maxConnections = 10000;                 // open at once
-    size_t           maxHeldBytes = 256 * 1024 * 1024;       // of incomplete requests, all connections together
+    size_t           maxHeldBytes = 256 * 1024 * 1024;       // of requests and answers under way, all together
     RequestLimits    limits = {};                            // of one request
     AdmissionOptions admission = {};                         // workers, and those kept for deeper calls
     Duration         sendTimeout = std::chrono::seconds(10); // for a caller to send a request
