Send nothing when the wait for a slot took all the time

Cause: a permit granted at the deadline was still sent; on a kept connection bytes left and the call ended as unknown although it could never be answered. Change: it ends as DeadlineTooShort, not run, and the permit as unused.

--- a/src/route/dispatcher.cpp
+++ b/src/route/dispatcher.cpp
@@ -145,9 +145,16 @@
 
 AttemptResult Dispatcher::State::send(const CallState &call, const Permit &permit, CancelToken &cancel)
 {
+    const Duration left = call.deadline - clock.now();
+    if (left <= Duration::zero()) { // the wait for a slot took it all: sent now, it could only end as unknown
+        hooks.finish(permit, {.end = AttemptEnd::NotSent, .code = Code::Cancelled});
+        AttemptResult late;
+        late.code = Code::DeadlineTooShort;
+        return late;
+    }
     AttemptResult out = hooks.send({.address = *permit.address,
                                     .request = call.request,
-                                    .timeLeft = call.deadline - clock.now(),
+                                    .timeLeft = left,
                                     .number = call.attempts,
                                     .idempotent = call.idempotent,
                                     .cancel = &cancel});
--- a/tests/route/test_dispatcher.cpp
+++ b/tests/route/test_dispatcher.cpp
@@ -233,3 +233,24 @@
     cr_assert(reports[0].end == AttemptEnd::Refused && reports[0].code == Code::TargetRefused);
     cr_assert(reports[1].status == 500 && reports[1].load && reports[1].load->draining);
 }
+
+Test(dispatcher, sends_nothing_when_the_wait_for_a_slot_took_all_the_time)
+{
+    Clock clock;
+    clock.pause();
+    Metrics metrics;
+    FakeBack back;
+    DispatcherHooks hooks = back.hooks([](const Attempt &) { return answered(); });
+    hooks.acquire = [&clock, grant = hooks.acquire](const AcquireRequest &it) {
+        clock.advance(2s);
+        return grant(it);
+    };
+    Dispatcher dispatcher(clock, metrics, {}, hooks);
+    dispatcher.apply(std::make_shared<Configuration>(oneService()));
+    CallRequest late = request("POST");
+    late.arrivedAt = clock.now();
+    CancelToken cancel;
+    const Answer got = dispatcher.dispatch(late, cancel);
+    cr_assert(got.code == Code::DeadlineTooShort && got.outcome == Outcome::NotRun);
+    cr_assert(back.seen().empty() && back.reports().size() == 1);
+}
