Hold an instance back that wakes from a pause until it has heard anew what is in force

Change: member/pause_guard notices a gap above 5 s. A keeper then writes its record and reads the document before it speaks to its entry; an entry sends nothing (EntryPaused, not run), fails readiness and asks its keeper. Ruled out: judging by the keeper's silence alone, since an entry has to serve on while its keeper is away.

--- a/src/base/result.cpp
+++ b/src/base/result.cpp
@@ -25,6 +25,8 @@
              "The target said by its documented signal that it did not run the request."},
     CodeInfo{Code::TargetShares, "TargetShares", "All connections that this entry may hold to the target are in use."},
     CodeInfo{Code::EntryBusy, "EntryBusy", "All workers of the entry that may serve this depth are in use."},
+    CodeInfo{Code::EntryPaused, "EntryPaused",
+             "The entry stood still for a while and has not yet heard what is in force now."},
     CodeInfo{Code::AnswerTimeout, "AnswerTimeout", "The target did not answer before the deadline."},
     CodeInfo{Code::ConnectionLost, "ConnectionLost", "The connection broke after bytes of the request had left."},
     CodeInfo{Code::BadAnswer, "BadAnswer", "The target sent an answer that is malformed or cut short."},
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -32,6 +32,7 @@
     TargetRefused = 112,
     TargetShares = 113,
     EntryBusy = 114,
+    EntryPaused = 115,
 
     // 2xx: the call may have run ("unknown"), or its answer could not be used
     AnswerTimeout = 201,
--- a/src/programs/damask-entry/entry.cpp
+++ b/src/programs/damask-entry/entry.cpp
@@ -19,6 +19,8 @@
 struct Entry::State {
     State(Clock &c, Metrics &m, const EntryOptions &o);
 
+    AttemptResult send(const Attempt &attempt);
+    bool mayAct();
     void apply(std::shared_ptr<const Configuration> next);
     Result<void> ready();
     std::string status();
@@ -71,7 +73,7 @@
     , hedges(c, {.name = "hedge", .threads = o.hedgeWorkers, .queueLimit = o.hedgeWorkers})
     , balancer(c, m, o.balancer)
     , dispatcher(c, m, balancer, o.dispatcher,
-                 {.send = [this](const Attempt &attempt) { return sender.send(attempt); },
+                 {.send = [this](const Attempt &attempt) { return send(attempt); },
                   .runBeside =
                       [this](std::function<void()> work) {
                           return hedges.submit(std::move(work)).has_value();
@@ -89,6 +91,24 @@
 {
 }
 
+/// An entry without a keeper, as in tests, is its own control and may always act.
+bool Entry::State::mayAct()
+{
+    return options.keeper.keeper.empty() || keeper.mayAct();
+}
+
+/// Checked right before each act: after a pause the configuration known here may be out of force.
+AttemptResult Entry::State::send(const Attempt &attempt)
+{
+    if (mayAct()) {
+        return sender.send(attempt);
+    }
+    AttemptResult held;
+    held.end = AttemptEnd::NotSent;
+    held.code = Code::EntryPaused;
+    return held;
+}
+
 void Entry::State::apply(std::shared_ptr<const Configuration> next)
 {
     balancer.apply(next);
@@ -109,6 +129,9 @@
     if (leaving) {
         return fail(Code::EntryLeaving, "the entry is stopping");
     }
+    if (!mayAct()) {
+        return fail(Code::EntryPaused, "the entry stood still and asks what is in force");
+    }
     if (!inForce()) {
         return fail(Code::NoConfiguration, "the keeper has given no configuration yet");
     }
--- a/src/programs/damask-entry/keeper_link.cpp
+++ b/src/programs/damask-entry/keeper_link.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/thread.h"
+#include "member/pause_guard.h"
 #include "wire/node.h"
 
 #include <atomic>
@@ -23,6 +24,8 @@
     std::atomic<TimePoint> heardAt;
     std::atomic<uint64_t> revision{0}; // applied
     std::atomic<uint64_t> offer{0};    // applied last
+    PauseGuard guard;
+    std::atomic<uint64_t> askedAfter{0}; // pauses noticed when the keeper was last asked what is in force
 
     RankedMutex mutex{LockRank::Program};
     Condition wake;
@@ -37,6 +40,7 @@
         , hooks(std::move(hooksIn))
         , incarnation(static_cast<uint64_t>(clockIn.now().time_since_epoch().count()))
         , heardAt(clockIn.now())
+        , guard(optionsIn.pauseLimit, clockIn.now())
         , wake(clockIn)
         , node(clockIn, metricsIn, {.name = optionsIn.instance, .listeners = {}},
                {.receive = [this](const WireSource &, Message message) { receive(std::move(message)); }, .admit = {}})
@@ -80,6 +84,7 @@
         hooks.apply(offered.configuration);
         revision = offered.configuration->revision;
         offer = offered.offer;
+        guard.confirm(askedAfter);
         metrics.gauge("damask_configuration_revision").Set(static_cast<double>(offered.configuration->revision));
         send(OfferApplied{offered.offer, offered.configuration->revision});
     }
@@ -92,14 +97,31 @@
         }
     }
 
+    bool askAgain() const
+    {
+        return guard.pauses() != askedAfter;
+    }
+
+    /// After a pause it says that it knows nothing, so that the keeper offers what is in force now.
+    void sayHello()
+    {
+        const bool knows = guard.mayAct(clock.now());
+        askedAfter = guard.pauses();
+        if (!knows) {
+            logEvent(Severity::Warning, "pause-noticed", {{"pauses", askedAfter.load()}});
+        }
+        send(EntryHello{knows ? revision.load() : 0, offer});
+    }
+
     void run()
     {
         TimePoint helloAt = clock.now();
         LockGuard lock(mutex);
         while (!stopping) {
             const TimePoint now = clock.now();
-            if (now >= helloAt) {
-                send(EntryHello{revision, offer});
+            guard.tick(now);
+            if (now >= helloAt || askAgain()) {
+                sayHello();
                 helloAt = now + HelloInterval;
             }
             sayNews();
@@ -141,6 +163,11 @@
     m_state->node.stop();
 }
 
+bool KeeperLink::mayAct()
+{
+    return m_state->guard.mayAct(m_state->clock.now());
+}
+
 Duration KeeperLink::silence() const
 {
     return m_state->clock.now() - m_state->heardAt.load();
--- a/src/programs/damask-entry/keeper_link.h
+++ b/src/programs/damask-entry/keeper_link.h
@@ -29,6 +29,7 @@
     std::string serverKey;                                     // public CURVE key of the keeper, Z85; empty: plain
     std::string publicKey;                                     // own, Z85
     std::string secretKey;                                     // own, Z85
+    Duration    pauseLimit = std::chrono::seconds(5);          // standing still for longer counts as a pause
 };
 
 class KeeperLink
@@ -39,6 +40,7 @@
 
     void     start();
     void     stop();
+    bool     mayAct();        // false after a pause, until the keeper has said anew what is in force: see PauseGuard
     Duration silence() const; // since the keeper was last heard; the entry serves on regardless
 
 private:
--- a/src/programs/damask-keeper/keeper.cpp
+++ b/src/programs/damask-keeper/keeper.cpp
@@ -7,6 +7,7 @@
 #include "control/effective.h"
 #include "document_holder.h"
 #include "entry_port.h"
+#include "member/pause_guard.h"
 #include "member_table.h"
 #include "peer_side.h"
 #include "settings/settings.h"
@@ -22,7 +23,7 @@
 
 constexpr std::string_view EntryDomain = "entry";
 constexpr std::string_view PeerDomain = "peer";
-constexpr std::string_view TcpPrefix = "tcp://";
+constexpr Duration PauseLimit = std::chrono::seconds(5); // below the time after which others pass an instance over
 
 int64_t wallClock()
 {
@@ -46,6 +47,7 @@
     KeeperOptions options;
     KeyTable keys;
     MemberTable members;
+    PauseGuard guard;
     DocumentHolder documents;
     EntryPort entry;
     WireNode node;
@@ -66,6 +68,7 @@
         , metrics(metricsIn)
         , options(optionsIn)
         , members(clockIn, optionsIn.self)
+        , guard(PauseLimit, clockIn.now())
         , documents(metricsIn)
         , entry(clockIn, {.send =
                               [this](const WireSource &to, MessageBody body) {
@@ -173,6 +176,9 @@
             peers.takeNews(batch->news);
             return;
         }
+        if (!guard.mayAct(clock.now())) {
+            return; // what is held here may be out of force: the entry asks again
+        }
         const uint64_t before = entry.confirmed();
         entry.hear(from, message);
         if (entry.confirmed() != before) {
@@ -254,8 +260,23 @@
         wake.notifyAll();
     }
 
+    /// After a pause others may have passed this instance over: it joins and reads again before it speaks.
+    void rejoinAfterPause()
+    {
+        if (guard.mayAct(clock.now())) {
+            return;
+        }
+        const uint64_t pauses = guard.pauses();
+        store.rejoin([this, pauses] {
+            guard.confirm(pauses);
+            logEvent(Severity::Info, "rejoined", {{"pauses", pauses}});
+        });
+    }
+
     void tick()
     {
+        guard.tick(clock.now());
+        rejoinAfterPause();
         const auto held = documents.current();
         members.hearSelf(entry.confirmed(), held ? held->versioned.version : 0, leaving);
         const auto all = members.members();
--- a/src/programs/damask-keeper/store_side.cpp
+++ b/src/programs/damask-keeper/store_side.cpp
@@ -91,32 +91,35 @@
         return std::string(DutyPrefix) + options.self.dataCentre + "/" + options.self.name;
     }
 
-    void joinStore()
+    bool joinStore()
     {
         if (const auto written = writeRecord(client, options.self); !written) {
             logEvent(Severity::Warning, "join-failed",
                      {{"code", codeNumber(written.error().code)}, {"reason", written.error().detail}});
-            return;
+            return false;
         }
         joined = true;
         logEvent(Severity::Info, "joined", {{"incarnation", options.self.incarnation}});
         readList();
-        readDocument();
+        return readDocument();
     }
 
-    void readDocument()
+    /// False when what the store holds now is not known.
+    bool readDocument()
     {
         const auto entry = client.get(DocumentKey);
         if (!entry) {
             if (entry.error().code == Code::NotFound) {
                 hooks.adopt(VersionedDocument{}, hooks.codec.encode(ControlDocument{}), StoreSource);
+                return true;
             }
-            return;
+            return false;
         }
         auto document = damask::readDocument(*entry, metrics, hooks.codec);
         if (document) {
             hooks.adopt(std::move(*document), entry->value, StoreSource);
         }
+        return document.has_value();
     }
 
     void readList()
@@ -292,6 +295,19 @@
     submit([this] { m_state->readDocument(); });
 }
 
+void StoreSide::rejoin(std::function<void()> done)
+{
+    State &state = *m_state;
+    if (state.clock.now() < state.join.due || state.join.busy) {
+        return;
+    }
+    state.start(state.join, state.joinBackoff.next(), [&state, done = std::move(done)] {
+        if (state.joinStore()) {
+            done();
+        }
+    });
+}
+
 void StoreSide::readRecords()
 {
     m_state->readRecords();
--- a/src/programs/damask-keeper/store_side.h
+++ b/src/programs/damask-keeper/store_side.h
@@ -40,6 +40,7 @@
     void stop();                             // ends the watch, leaves the store
     void submit(std::function<void()> task); // runs it on the pool
     void refresh();                          // reads the document now
+    void rejoin(std::function<void()> done); // after a pause: writes the record, reads the document, then calls done
     void readRecords();                      // on the calling thread
     void reap();                             // removes the records of instances that are gone, on the calling thread
 
