Let long values of INI go on on indented lines

Change: an indented line goes on with the value above; what is printed is broken the same way, so that it reads back.

--- a/scripts/lib/damaskbench.py
+++ b/scripts/lib/damaskbench.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import tempfile
+import textwrap
 import time
 import urllib.error
 import urllib.request
@@ -18,6 +19,7 @@
 FIRST_PORT = 10000  # below the ports that the system hands out by itself
 PORTS_EACH = 700    # for one bench; benches that run side by side take other ranges
 PORT_RANGES = 32
+LINE_BYTES = 150    # of a settings file; longer values go on on indented lines
 
 
 def http(method, port, path, body=None, token="", timeout=10):
@@ -40,7 +42,9 @@
     out = []
     for section, values in sections.items():
         out.append(f"[{section}]")
-        out += [f"{key} = {value}" for key, value in values.items()]
+        for key, value in values.items():
+            out += textwrap.wrap(f"{key} = {value}", LINE_BYTES, subsequent_indent="    ", break_on_hyphens=False,
+                                 break_long_words=False)
         out.append("")
     return "\n".join(out)
 
--- a/scripts/lib/system.py
+++ b/scripts/lib/system.py
@@ -50,6 +50,7 @@
         self.bench, self.centres, self.groups, self.seed = bench, centres, groups, seed
         self.store_port = bench.port()
         for group in groups:
+            group.data_centres = group.data_centres or [it[0] for it in centres]
             group.first_port = bench.port(group.count)
             group.control_port = bench.port()
         self.instances = []
--- a/src/settings/ini.cpp
+++ b/src/settings/ini.cpp
@@ -35,6 +35,7 @@
 struct Reading {
     std::string_view rest; // text not yet read
     int line = 0;          // line last read, from 1
+    bool indented = false; // the line last read starts with white space: it goes on with the entry before
     Result<void> opened;   // the failure of the last header, if any
     std::vector<IniSection> sections;
 };
@@ -73,6 +74,7 @@
     buf[n] = '\0';
     reading.rest.remove_prefix(n);
     ++reading.line;
+    reading.indented = row.front() == ' ' || row.front() == '\t';
     if (row.front() == '[' && row.find(']') != std::string_view::npos) {
         reading.opened = openSection(reading, row);
     }
@@ -91,10 +93,27 @@
     if (entry.key.size() + entry.value.size() + Separator.size() > MostLineBytes) {
         reading.opened = fail(Code::BadSettings, tooLong(reading.line)); // written out, it could not be read again
     }
-    reading.sections.back().entries.push_back(std::move(entry));
+    std::vector<IniEntry> &entries = reading.sections.back().entries;
+    if (reading.indented && !entries.empty() && entries.back().key == entry.key) {
+        entries.back().value += " " + entry.value;
+        return 1;
+    }
+    entries.push_back(std::move(entry));
     return 1;
 }
 
+/// Where to break a value that is too long for its line: the last single space that is not before a comment.
+size_t breakOf(std::string_view value, size_t room)
+{
+    for (size_t n = std::min(room, value.size() - 1); n > 1; --n) {
+        const bool single = value[n] == ' ' && value[n - 1] != ' ' && n + 1 < value.size() && value[n + 1] != ' ';
+        if (single && value[n + 1] != ';' && value[n + 1] != '#') {
+            return n;
+        }
+    }
+    return std::string_view::npos;
+}
+
 } // namespace
 
 Result<std::vector<IniSection>> readIni(std::string_view text, std::string_view source)
@@ -119,6 +138,23 @@
     return std::move(reading.sections);
 }
 
+std::string writeIniEntry(std::string_view key, std::string_view value)
+{
+    constexpr std::string_view Indent = "    ";
+    std::string out = std::string(key) + std::string(Separator);
+    size_t room = MostLineBytes - std::min(out.size(), MostLineBytes);
+    while (value.size() > room) {
+        const size_t end = breakOf(value, room);
+        if (end == std::string_view::npos) {
+            break;
+        }
+        out += std::string(value.substr(0, end)) + "\n" + std::string(Indent);
+        value.remove_prefix(end + 1);
+        room = MostLineBytes - Indent.size();
+    }
+    return out + std::string(value) + "\n";
+}
+
 Result<std::string> readFile(std::string_view path, size_t maxBytes)
 {
     std::ifstream file{std::string(path), std::ios::binary};
--- a/src/settings/ini.h
+++ b/src/settings/ini.h
@@ -27,9 +27,13 @@
     std::vector<IniEntry> entries;
 };
 
-/// Parses text; `source` names it in errors. BadSettings with source and line on malformed lines.
+/// Parses text; an indented line goes on with the value above it.  `source` names it in errors. BadSettings with source
+/// and line on malformed lines.
 Result<std::vector<IniSection>> readIni(std::string_view text, std::string_view source);
 
+/// One `key = value` as readIni() takes it, broken at spaces into indented lines where it is long.
+std::string writeIniEntry(std::string_view key, std::string_view value);
+
 /// Reads a file, at most maxBytes long. SystemError when it can't be read.
 Result<std::string> readFile(std::string_view path, size_t maxBytes = 4 * 1024 * 1024);
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -319,7 +319,7 @@
             out += ", " + rangeOf(spec);
         }
         out += spec.required ? ", required\n" : ", default: " + std::string(spec.defaultValue) + "\n";
-        out += std::string(spec.key) + " = " + m_values[n] + "\n";
+        out += writeIniEntry(spec.key, m_values[n]);
     }
     return out;
 }
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -57,6 +57,19 @@
     cr_assert(again->print() == settings->print());
 }
 
+Test(settings, a_long_list_goes_on_on_indented_lines_and_is_printed_so)
+{
+    std::string peers;
+    for (int n = 0; n < 60; ++n) {
+        peers += "tcp://10.0.0." + std::to_string(n) + ":7002" + (n % 5 == 4 ? "\n    " : " ");
+    }
+    const auto settings = Settings::load("[member]\nname = e1\npeers = " + peers, "a.ini", Specs);
+    cr_assert(settings.has_value(), "%s", settings.error().detail.c_str());
+    cr_assert(settings->list("member", "peers").size() == 60);
+    const auto again = Settings::load(settings->print(), "printed", Specs);
+    cr_assert(again.has_value() && again->list("member", "peers") == settings->list("member", "peers"));
+}
+
 Test(settings, a_change_from_the_command_line_is_checked_as_the_file_is)
 {
     auto settings = Settings::load("[member]\nname = e1\n", "a.ini", Specs);
