Probe targets within each service's budget from the entry

Change: damask-entry looks at what is known every 100 ms and probes through back/ what is older than 250 ms; the bytes and failures are counted. The default half-life is the balancer's.

--- a/src/programs/damask-entry/entry.cpp
+++ b/src/programs/damask-entry/entry.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/worker_pool.h"
 #include "operate/routes.h"
+#include "programs/damask-entry/probing.h"
 #include "programs/damask-entry/status_json.h"
 
 #include <atomic>
@@ -46,6 +47,7 @@
     WorkerPool hedges;
     Balancer balancer;
     Dispatcher dispatcher;
+    Probing probing;
     FrontServer front;
     KeeperLink keeper;
     OperateServer operate;
@@ -78,6 +80,14 @@
                       [this](std::function<void()> work) {
                           return hedges.submit(std::move(work)).has_value();
                       }})
+    , probing(c, m, o.probing,
+              {.status = [this](std::string_view service) { return balancer.status(service); },
+               .probe = [this](std::string_view address, uint16_t port,
+                               Duration timeout) { return sender.probe(address, port, timeout); },
+               .absorb =
+                   [this](std::span<const LoadNews> news) {
+                       balancer.absorb(news);
+                   }})
     , front(c, m, o.front,
             [this](const CallRequest &call, CancelToken &cancel) { return dispatcher.dispatch(call, cancel); })
     , keeper(c, m, o.keeper,
@@ -113,6 +123,7 @@
 {
     balancer.apply(next);
     dispatcher.apply(next);
+    probing.apply(next);
     logEvent(Severity::Info, "configuration-applied", {{"revision", next->revision}});
     LockGuard lock(mutex);
     configuration = std::move(next);
@@ -233,6 +244,7 @@
     if (!state.options.keeper.keeper.empty()) {
         state.keeper.start();
     }
+    state.probing.start();
     state.tidier = Thread("entry-tidy", [&state] { state.tidy(); });
     state.logStart();
     return {};
@@ -251,6 +263,7 @@
     state.waitNotice();
     state.front.stop();
     state.keeper.stop();
+    state.probing.stop();
     {
         LockGuard lock(state.stopMutex);
         state.stopped = true;
--- a/src/programs/damask-entry/entry_options.cpp
+++ b/src/programs/damask-entry/entry_options.cpp
@@ -29,7 +29,12 @@
     {"targets", "fresh-limit", SettingType::Interval, "500 ms",
      "Age of the last answer that proves a connection alive for a call that may run once only.", 0, 600000},
     {"targets", "max-answer", SettingType::Size, "16 MB", "Body of an answer.", 1024, 1073741824},
-    {"route", "report-half-life", SettingType::Interval, "20 ms", "How fast a load report loses weight.", 1, 60000},
+    {"route", "report-half-life", SettingType::Interval, "0 ms",
+     "How fast a load report loses weight; 0: in the usual answer time.", 0, 60000},
+    {"probes", "interval", SettingType::Interval, "100 ms", "Between two looks at what is known.", 10, 60000},
+    {"probes", "worth-after", SettingType::Interval, "250 ms", "Age of a report that makes a probe worth it.", 1,
+     60000},
+    {"probes", "timeout", SettingType::Interval, "250 ms", "For a probe.", 1, 60000},
     {"route", "safety", SettingType::Interval, "2 ms", "Kept of a deadline for the way back.", 0, 60000},
     {"route", "why-events", SettingType::Number, "4096", "Calls remembered for damaskctl why.", 0, 1000000},
     {"route", "hedge-workers", SettingType::Number, "16", "Second attempts sent at once.", 1, 1024},
@@ -127,6 +132,10 @@
     out.keeper = readKeeper(settings);
     out.balancer.dataCentre = settings.text("instance", "data-centre");
     out.balancer.reportHalfLife = settings.interval("route", "report-half-life");
+    out.probing.dataCentre = out.balancer.dataCentre;
+    out.probing.interval = settings.interval("probes", "interval");
+    out.probing.worthAfter = settings.interval("probes", "worth-after");
+    out.probing.timeout = settings.interval("probes", "timeout");
     out.balancer.whyEvents = countOf(settings, "route", "why-events");
     out.dispatcher.safety = settings.interval("route", "safety");
     out.dispatcher.whyEvents = countOf(settings, "route", "why-events");
--- a/src/programs/damask-entry/entry_options.h
+++ b/src/programs/damask-entry/entry_options.h
@@ -5,6 +5,7 @@
 #include "front/server.h"
 #include "operate/server.h"
 #include "programs/damask-entry/keeper_link.h"
+#include "programs/damask-entry/probing.h"
 #include "route/balancer.h"
 #include "route/dispatcher.h"
 #include "settings/settings.h"
@@ -22,6 +23,7 @@
     KeeperLinkOptions keeper;                                // control; an empty endpoint: none
     SenderOptions     sender;                                // targets
     BalancerOptions   balancer;                              // choosing a target
+    ProbingOptions    probing;                               // asking targets for their load
     DispatcherOptions dispatcher;                            // the life of a call
     size_t            hedgeWorkers = 16;                     // second attempts sent at once
     Duration          leaveNotice = std::chrono::seconds(5); // between failing readiness and closing
