--- a/src/programs/damask-entry/entry_options.cpp
+++ b/src/programs/damask-entry/entry_options.cpp
@@ -42,10 +42,10 @@
     {"keeper", "news-interval", SettingType::Interval, "250 ms", "Between two messages of load news.", 10, 60000},
     {"keeper", "server-key", SettingType::Text, "", "The keeper's public key, Z85; empty: no encryption."},
     {"keeper", "public-key", SettingType::Text, "", "Own public key, Z85."},
-    {"keeper", "secret-key", SettingType::Text, "", "Own secret key, Z85."},
+    {"keeper", "secret-key", SettingType::Secret, "", "Own secret key, Z85."},
     {"operate", "address", SettingType::Text, "127.0.0.1", "IP number that operators reach."},
     {"operate", "port", SettingType::Number, "7101", "TCP port that operators reach.", 1, 65535},
-    {"operate", "token", SettingType::Text, "", "Asked for on closed pages; empty: none is asked for."},
+    {"operate", "token", SettingType::Secret, "", "Asked for on closed pages; empty: none is asked for."},
     {"stop", "notice", SettingType::Interval, "5 s", "Between failing readiness and closing the port.", 0, 600000},
 });
 
@@ -96,7 +96,7 @@
     out.newsInterval = settings.interval("keeper", "news-interval");
     out.serverKey = settings.text("keeper", "server-key");
     out.publicKey = settings.text("keeper", "public-key");
-    out.secretKey = settings.text("keeper", "secret-key");
+    out.secretKey = settings.secret("keeper", "secret-key");
     return out;
 }
 
@@ -142,7 +142,7 @@
     out.hedgeWorkers = countOf(settings, "route", "hedge-workers");
     out.operate.address = settings.text("operate", "address");
     out.operate.port = portOf(settings, "operate");
-    out.operate.token = settings.text("operate", "token");
+    out.operate.token = settings.secret("operate", "token");
     out.leaveNotice = settings.interval("stop", "notice");
     const auto checked = check(out);
     if (!checked) {
--- a/src/programs/damask-keeper/main.cpp
+++ b/src/programs/damask-keeper/main.cpp
@@ -16,12 +16,13 @@
     R"(damask-keeper: follows the configuration in the store and hands it to the entry beside it.
 
 Usage:
-  damask-keeper [--settings=FILE] [--check | --print-settings]
+  damask-keeper [--settings=FILE] [--set=PAIR]... [--check | --print-settings]
   damask-keeper --make-keys
   damask-keeper (--help | --version)
 
 Options:
   --settings=FILE   Settings in INI.
+  --set=PAIR        One setting as section.key=value; goes before the file.
   --check           Check the settings and stop.
   --print-settings  Print the effective settings and stop.
   --make-keys       Print a new pair of keys as settings and stop.
@@ -38,9 +39,9 @@
      "Where other keepers connect; key slot b: port + 1."},
     {"peers", "seeds", SettingType::List, "", "Addresses of other keepers, asked when the store is down at the start."},
     {"keys", "a-public", SettingType::Text, "", "Public key of slot a, Z85; empty: plain, on a bench only."},
-    {"keys", "a-secret", SettingType::Text, "", "Secret key of slot a, Z85."},
+    {"keys", "a-secret", SettingType::Secret, "", "Secret key of slot a, Z85."},
     {"keys", "b-public", SettingType::Text, "", "Public key of slot b: the next one, used when a ticket retires a."},
-    {"keys", "b-secret", SettingType::Text, "", "Secret key of slot b, Z85."},
+    {"keys", "b-secret", SettingType::Secret, "", "Secret key of slot b, Z85."},
     {"store", "address", SettingType::Text, "127.0.0.1", "IP number of the platform's store."},
     {"store", "port", SettingType::Number, "2379", "TCP port of the platform's store.", 1, 65535},
     {"store", "connect-timeout", SettingType::Interval, "1 s", "For a connection to the store.", 10, 60000},
@@ -48,7 +49,7 @@
     {"store", "watch-silence", SettingType::Interval, "15 s", "A watch silent for so long is made anew.", 1000, 600000},
     {"operate", "address", SettingType::Text, "127.0.0.1", "IP number of the operators' port."},
     {"operate", "port", SettingType::Number, "7000", "TCP port for operators; 0 takes any free one.", 0, 65535},
-    {"operate", "token", SettingType::Text, "", "Token asked from operators; empty: none is asked for."},
+    {"operate", "token", SettingType::Secret, "", "Token asked from operators; empty: none is asked for."},
     {"control", "watchers", SettingType::Number, "2", "Keepers of each data centre that watch the store.", 1, 16},
     {"control", "heartbeat", SettingType::Interval, "2 s", "Between heartbeats to other keepers.", 100, 60000},
     {"control", "tick", SettingType::Interval, "250 ms", "Between checks, pushes and news.", 10, 10000},
@@ -92,8 +93,8 @@
     out.entryListen = settings.text("entry", "listen");
     out.peerListen = settings.text("peers", "listen");
     out.seeds = settings.list("peers", "seeds");
-    out.slotA = {std::string(settings.text("keys", "a-public")), std::string(settings.text("keys", "a-secret"))};
-    out.slotB = {std::string(settings.text("keys", "b-public")), std::string(settings.text("keys", "b-secret"))};
+    out.slotA = {std::string(settings.text("keys", "a-public")), std::string(settings.secret("keys", "a-secret"))};
+    out.slotB = {std::string(settings.text("keys", "b-public")), std::string(settings.secret("keys", "b-secret"))};
     out.store = storeOptions(settings);
     out.duty.perDataCentre = static_cast<size_t>(settings.number("control", "watchers"));
     out.heartbeat = settings.interval("control", "heartbeat");
@@ -169,7 +170,7 @@
     OperateOptions operate;
     operate.address = settings.text("operate", "address");
     operate.port = static_cast<uint16_t>(settings.number("operate", "port"));
-    operate.token = settings.text("operate", "token");
+    operate.token = settings.secret("operate", "token");
     OperateServer server(operate);
     addRoutes(server, keeper, metrics);
     for (const auto &started : {keeper.start(), server.start()}) {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -68,6 +68,7 @@
         return parseFlag(text).map([](bool) { return std::nan(""); });
     case SettingType::Text:
     case SettingType::List:
+    case SettingType::Secret:
         break;
     }
     return std::nan("");
@@ -115,6 +116,8 @@
         return "size (B, KB, MB)";
     case SettingType::List:
         return "words";
+    case SettingType::Secret:
+        return "text that is not shown";
     }
     return "text";
 }
@@ -252,6 +255,11 @@
     return value(section, key, SettingType::Text);
 }
 
+std::string_view Settings::secret(std::string_view section, std::string_view key) const
+{
+    return value(section, key, SettingType::Secret);
+}
+
 int64_t Settings::number(std::string_view section, std::string_view key) const
 {
     return parseNumber(value(section, key, SettingType::Number)).value_or(0);
@@ -319,7 +327,8 @@
             out += ", " + rangeOf(spec);
         }
         out += spec.required ? ", required\n" : ", default: " + std::string(spec.defaultValue) + "\n";
-        out += writeIniEntry(spec.key, m_values[n]);
+        const bool hidden = spec.type == SettingType::Secret && !m_values[n].empty();
+        out += hidden ? "; " + std::string(spec.key) + " is set\n" : writeIniEntry(spec.key, m_values[n]);
     }
     return out;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -22,6 +22,7 @@
     Interval, // number and unit: ns, us, ms, s, min, h; least and most in ms
     Size,     // number and unit: B, KB, MB (1 KB = 1024 B); least and most in bytes
     List,     // words separated by spaces or commas
+    Secret,   // any text, never printed
 };
 
 /// One row of a program's table of settings.
@@ -43,6 +44,7 @@
     static Result<Settings> load(std::string_view text, std::string_view source, std::span<const SettingSpec> specs);
 
     std::string_view         text(std::string_view section, std::string_view key) const;
+    std::string_view         secret(std::string_view section, std::string_view key) const;
     int64_t                  number(std::string_view section, std::string_view key) const;
     double                   fraction(std::string_view section, std::string_view key) const;
     bool                     flag(std::string_view section, std::string_view key) const;
--- a/standins/damask-store/main.cpp
+++ b/standins/damask-store/main.cpp
@@ -10,11 +10,12 @@
 constexpr std::string_view Usage = R"(damask-store: stand-in of the platform's key-value service and instance list.
 
 Usage:
-  damask-store [--settings=FILE] [--check | --print-settings]
+  damask-store [--settings=FILE] [--set=PAIR]... [--check | --print-settings]
   damask-store (--help | --version)
 
 Options:
   --settings=FILE   Settings in INI.
+  --set=PAIR        One setting as section.key=value; goes before the file.
   --check           Check the settings and stop.
   --print-settings  Print the effective settings and stop.
   --help            Show this text.
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -70,6 +70,17 @@
     cr_assert(again.has_value() && again->list("member", "peers") == settings->list("member", "peers"));
 }
 
+Test(settings, a_secret_is_read_and_never_printed)
+{
+    static constexpr auto Secrets = std::to_array<SettingSpec>({
+        {"operate", "token", SettingType::Secret, "", "Token."},
+    });
+    const auto settings = Settings::load("[operate]\ntoken = hush\n", "a.ini", Secrets);
+    cr_assert(settings->secret("operate", "token") == "hush");
+    cr_assert(settings->print().find("hush") == std::string::npos);
+    cr_assert(Settings::load(settings->print(), "printed", Secrets)->secret("operate", "token").empty());
+}
+
 Test(settings, a_change_from_the_command_line_is_checked_as_the_file_is)
 {
     auto settings = Settings::load("[member]\nname = e1\n", "a.ini", Specs);
