Let one rule matcher serve both routing and tickets

Cause: route/rules and config/rule_match decided the same twice; a difference would let a ticket be checked against another rule than the one that decides. Change: matchRule() takes the query off and asks decidingRule(). Tests unchanged.

--- a/src/config/rule_match.cpp
+++ b/src/config/rule_match.cpp
@@ -8,7 +8,19 @@
 bool covers(std::string_view prefix, std::string_view path)
 {
     const bool starts = path.starts_with(prefix);
-    return starts && (path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/');
+    const bool whole = path.size() == prefix.size();
+    return starts && (whole || prefix.empty() || prefix.ends_with('/') || path[prefix.size()] == '/');
+}
+
+bool goesBefore(const Rule &rule, const Rule *best)
+{
+    if (best == nullptr) {
+        return true;
+    }
+    if (rule.host.empty() != best->host.empty()) {
+        return best->host.empty();
+    }
+    return rule.prefix.size() > best->prefix.size();
 }
 
 } // namespace
@@ -22,13 +34,7 @@
 {
     const Rule *best = nullptr;
     for (const Rule &it : rules) {
-        if (!ruleMatches(it, host, path)) {
-            continue;
-        }
-        const bool namesHost = best != nullptr && it.host.empty() != best->host.empty() && !it.host.empty();
-        const bool longer =
-            best != nullptr && it.host.empty() == best->host.empty() && it.prefix.size() > best->prefix.size();
-        if (best == nullptr || namesHost || longer) {
+        if (ruleMatches(it, host, path) && goesBefore(it, best)) {
             best = &it;
         }
     }
--- a/src/member/duty.cpp
+++ b/src/member/duty.cpp
@@ -52,7 +52,7 @@
 std::vector<std::string> allWatchers(std::span<const MemberView> members, const DutyOptions &options)
 {
     std::vector<std::string> out;
-    for (const std::string &it : dataCentresOf(members)) {
+    for (const auto &it : dataCentresOf(members)) {
         const auto watchers = watchersOf(members, it, options);
         out.insert(out.end(), watchers.begin(), watchers.end());
     }
@@ -72,7 +72,7 @@
     const auto homeWatchers = watchersOf(members, home, options);
     std::set<std::string, std::less<>> wanted;
     if (std::find(homeWatchers.begin(), homeWatchers.end(), self) != homeWatchers.end()) {
-        for (const std::string &it : dataCentresOf(members)) {
+        for (const auto &it : dataCentresOf(members)) {
             const auto lowest = lowestOf(members, it, options.perDataCentre);
             const auto watchers = watchersOf(members, it, options);
             wanted.insert(lowest.begin(), lowest.end());
--- a/src/programs/damask-keeper/peer_side.cpp
+++ b/src/programs/damask-keeper/peer_side.cpp
@@ -259,7 +259,7 @@
             }
         }
         asked.erase(options.self.keeper);
-        for (const std::string &it : asked) {
+        for (const auto &it : asked) {
             if (budget.take(SendKind::Control, wireBytes(EnvelopeBytes))) {
                 hooks.send(hooks.peerAt(it), DocumentRequest{0});
             }
--- a/src/route/rules.cpp
+++ b/src/route/rules.cpp
@@ -1,5 +1,7 @@
 #include "route/rules.h"
 
+#include "config/rule_match.h"
+
 #include <algorithm>
 #include <array>
 
@@ -14,26 +16,6 @@
     return path.substr(0, path.find_first_of("?#"));
 }
 
-bool covers(std::string_view prefix, std::string_view path)
-{
-    if (!path.starts_with(prefix)) {
-        return false;
-    }
-    const bool whole = path.size() == prefix.size();
-    return whole || prefix.empty() || prefix.back() == '/' || path[prefix.size()] == '/';
-}
-
-bool goesBefore(const Rule &rule, const Rule *best)
-{
-    if (best == nullptr) {
-        return true;
-    }
-    if (rule.host.empty() != best->host.empty()) {
-        return best->host.empty();
-    }
-    return rule.prefix.size() > best->prefix.size();
-}
-
 /// Takes one character off the front, reading %2e as a dot.
 char takeCharacter(std::string_view &text)
 {
@@ -59,15 +41,7 @@
 
 const Rule *matchRule(std::span<const Rule> rules, std::string_view host, std::string_view path)
 {
-    const std::string_view wanted = withoutQuery(path);
-    const Rule *best = nullptr;
-    for (const Rule &it : rules) {
-        const bool hostFits = it.host.empty() || it.host == host;
-        if (hostFits && covers(it.prefix, wanted) && goesBefore(it, best)) {
-            best = &it;
-        }
-    }
-    return best;
+    return decidingRule(rules, host, withoutQuery(path));
 }
 
 bool isIdempotent(const Rule &rule, std::string_view method)
--- a/src/route/rules.h
+++ b/src/route/rules.h
@@ -8,9 +8,8 @@
 
 namespace damask {
 
-/// The rule that decides for a host and a path, or null. A rule that names the host goes before one that names none;
-/// among those the longest prefix wins. A prefix matches whole segments: "/pay" covers "/pay" and "/pay/7", but not
-/// "/payments".
+/// The rule that decides for a host and a path with its query, or null: decidingRule() of config/rule_match.h, which
+/// tickets are checked by too.
 const Rule *matchRule(std::span<const Rule> rules, std::string_view host, std::string_view path);
 
 /// Whether the request may be run twice without harm.
--- a/src/startup/program.cpp
+++ b/src/startup/program.cpp
@@ -32,7 +32,7 @@
     if (it == arguments.end() || !it->second.isStringList()) {
         return {};
     }
-    for (const std::string &pair : it->second.asStringList()) {
+    for (const auto &pair : it->second.asStringList()) {
         const auto changed = settings.change(pair);
         if (!changed) {
             return changed;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -35,7 +35,7 @@
     }
     uint64_t number = 0;
     if (it->is_string()) {
-        const auto &text = it->get_ref<const std::string &>();
+        const auto &text = it->get_ref<const nlohmann::json::string_t &>();
         std::from_chars(text.data(), text.data() + text.size(), number);
     }
     return number;
@@ -50,7 +50,7 @@
     if (!it->is_string()) {
         return fail(Code::StoreBadValue, std::string(field) + ": must be a string");
     }
-    return fromBase64(it->get_ref<const std::string &>());
+    return fromBase64(it->get_ref<const nlohmann::json::string_t &>());
 }
 
 Result<StoreEntry> entryOf(const Json &kv)
--- a/src/store/instance_list.cpp
+++ b/src/store/instance_list.cpp
@@ -19,7 +19,7 @@
     if (it == json.end()) {
         return true;
     }
-    if (!it->is_string() || it->get_ref<const std::string &>().size() > MaxFieldBytes) {
+    if (!it->is_string() || it->get_ref<const nlohmann::json::string_t &>().size() > MaxFieldBytes) {
         return false;
     }
     out = it->get<std::string>();
--- a/src/wire/configuration_codec.cpp
+++ b/src/wire/configuration_codec.cpp
@@ -151,7 +151,7 @@
     }
     out.idempotency = static_cast<Idempotency>(from.idempotency());
     reader.items(from.data_centres_size(), "rule.dataCentres");
-    for (const std::string &it : from.data_centres()) {
+    for (const auto &it : from.data_centres()) {
         out.dataCentres.push_back(reader.name(it, "rule.dataCentres"));
     }
     return out;
@@ -218,7 +218,7 @@
     to.set_prefix(from.prefix);
     to.set_service(from.service);
     to.set_idempotency(static_cast<uint32_t>(from.idempotency));
-    for (const std::string &it : from.dataCentres) {
+    for (const auto &it : from.dataCentres) {
         to.add_data_centres(it);
     }
 }
