--- a/scripts/lib/damaskbench.py
+++ b/scripts/lib/damaskbench.py
@@ -100,9 +100,12 @@
 class Bench:
     """A folder of settings and logs, a range of ports, and the processes started in it."""
 
+    opened = 0  # by this script so far: each takes a range of its own
+
     def __init__(self, keep=False):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="damask-"))
-        self.next_port = FIRST_PORT + os.getpid() % PORT_RANGES * PORTS_EACH
+        self.next_port = FIRST_PORT + (os.getpid() + Bench.opened) % PORT_RANGES * PORTS_EACH
+        Bench.opened += 1
         self.processes = {}
         self.keep = keep
         self.failures = []
--- a/scripts/lib/system.py
+++ b/scripts/lib/system.py
@@ -61,6 +61,7 @@
         self.versions = {}
         self.run_number = itertools.count(1)
         self.expected_exits = set()
+        self.front = {}  # settings of the entries' front that differ from the defaults
 
     # Starting
 
@@ -117,7 +118,7 @@
 
     def entry_settings(self, instance):
         return {"instance": {"name": instance.name, "data-centre": instance.data_centre},
-                "front": {"port": instance.entry_port},
+                "front": {"port": instance.entry_port, **self.front},
                 "keeper": {"endpoint": f"tcp://127.0.0.1:{instance.keeper_link}"},
                 "operate": {"port": instance.entry_operate, "token": TOKEN},
                 "stop": {"notice": "1 s"}}
--- a/src/operate/server.cpp
+++ b/src/operate/server.cpp
@@ -200,6 +200,11 @@
     Listener &listener = state.listener;
     listener.set_keep_alive_max_count(1);
     listener.set_tcp_nodelay(true);
+    // The library's own choice, SO_REUSEPORT, fails while connections of the process before linger.
+    listener.set_socket_options([](socket_t it) {
+        const int on = 1;
+        ::setsockopt(it, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    });
     listener.set_payload_max_length(state.options.maxBodyBytes);
     listener.set_read_timeout(TransferTimeoutSeconds);
     listener.set_write_timeout(TransferTimeoutSeconds);
