Let one place say where data centres stand and how far regions are

Cause: the entry's probing wrote regionOf() and the delay between regions again beside the balancer's. Change: both call config/place.

--- /dev/null
+++ b/src/config/place.h
@@ -0,0 +1,16 @@
+/// Where data centres stand and how far regions are from each other.
+#pragma once
+
+#include "config/model.h"
+
+#include <string_view>
+
+namespace damask {
+
+/// The region of a data centre; empty when the configuration does not name it. Lives as long as the configuration.
+std::string_view regionOf(const Configuration &configuration, std::string_view dataCentre);
+
+/// There and back between two different regions; twice 8 ms where no link is configured.
+Duration linkBetween(const Configuration &configuration, std::string_view left, std::string_view right);
+
+} // namespace damask
--- a/src/programs/damask-entry/probing.cpp
+++ b/src/programs/damask-entry/probing.cpp
@@ -3,6 +3,7 @@
 #include "base/check.h"
 #include "base/thread.h"
 #include "base/worker_pool.h"
+#include "config/place.h"
 #include "measure/prober.h"
 
 #include <algorithm>
@@ -28,30 +29,6 @@
     std::unique_ptr<Prober> prober;
 };
 
-std::string regionOf(const Configuration &configuration, std::string_view dataCentre)
-{
-    for (const DataCentre &it : configuration.dataCentres) {
-        if (it.name == dataCentre) {
-            return it.region;
-        }
-    }
-    return {};
-}
-
-Duration delayBetween(const Configuration &configuration, std::string_view one, std::string_view other)
-{
-    if (one == other) {
-        return Duration(0);
-    }
-    const std::string name = std::string(std::min(one, other)) + "--" + std::string(std::max(one, other));
-    for (const Link &it : configuration.links) {
-        if (it.name == name) {
-            return 2 * it.delay;
-        }
-    }
-    return 2 * Link{}.delay;
-}
-
 } // namespace
 
 struct Probing::State {
@@ -70,9 +47,9 @@
         targets.clear();
         for (const Pool &from : configuration->pools) {
             for (const Target &it : from.targets) {
-                const std::string there = regionOf(*configuration, it.dataCentre);
-                const Duration delay = delayBetween(*configuration, region, there);
-                targets[from.name + "/" + it.name] = {it.address, it.port, there, delay};
+                const std::string_view there = regionOf(*configuration, it.dataCentre);
+                const Duration delay = region == there ? Duration(0) : linkBetween(*configuration, region, there);
+                targets[from.name + "/" + it.name] = {it.address, it.port, std::string(there), delay};
             }
         }
     }
@@ -174,7 +151,7 @@
 {
     LockGuard lock(m_state->mutex);
     m_state->configuration = std::move(configuration);
-    const std::string region = regionOf(*m_state->configuration, m_state->options.dataCentre);
+    const std::string_view region = regionOf(*m_state->configuration, m_state->options.dataCentre);
     m_state->takeTargets(region);
     m_state->takeBudgets(region);
 }
--- a/src/route/service_table.cpp
+++ b/src/route/service_table.cpp
@@ -1,6 +1,7 @@
 #include "route/service_table.h"
 
 #include "base/check.h"
+#include "config/place.h"
 
 #include <algorithm>
 #include <atomic>
@@ -10,7 +11,6 @@
 namespace {
 
 constexpr Duration WithinRegion = std::chrono::microseconds(3000); // there and back between data centres of a region
-constexpr Duration UnknownLink = std::chrono::milliseconds(16);    // there and back where no link is configured
 constexpr size_t NearShare = 10;                                   // candidates from this data centre, when many
 constexpr size_t RegionShare = 4;                                  // candidates from the rest of this region
 constexpr double HurryAfterTimes = 4;                              // usual answer times without any answer
@@ -24,21 +24,6 @@
     return next.fetch_add(1, std::memory_order_relaxed);
 }
 
-std::string_view regionOf(const Configuration &configuration, std::string_view dataCentre)
-{
-    const auto &all = configuration.dataCentres;
-    const auto it = std::find_if(all.begin(), all.end(), [&](const DataCentre &n) { return n.name == dataCentre; });
-    return it == all.end() ? std::string_view() : std::string_view(it->region);
-}
-
-Duration linkBetween(const Configuration &configuration, std::string_view left, std::string_view right)
-{
-    const std::string name = std::string(std::min(left, right)) + "--" + std::string(std::max(left, right));
-    const auto &all = configuration.links;
-    const auto it = std::find_if(all.begin(), all.end(), [&](const Link &n) { return n.name == name; });
-    return it == all.end() ? UnknownLink : 2 * it->delay;
-}
-
 } // namespace
 
 ServiceTable::ServiceTable(const BalancerOptions &options, const BalancerHooks &hooks, std::string_view name,
