--- a/src/back/answer_head.cpp
+++ b/src/back/answer_head.cpp
@@ -1,7 +1,6 @@
 #include "back/answer_head.h"
 
 #include "back/request_head.h"
-#include "call/headers.h"
 
 #include <algorithm>
 #include <charconv>
@@ -11,9 +10,6 @@
 namespace {
 
 constexpr size_t StatusLineLeast = 12; // bytes of "HTTP/1.1 200"
-constexpr int MaxReported = 1'000'000; // in a load report; more is malformed
-constexpr int TooManyRequests = 429;
-constexpr int ServiceUnavailable = 503;
 
 bool isTokenByte(char c)
 {
@@ -134,65 +130,29 @@
     return out;
 }
 
-std::vector<HeaderField> endToEndFields(std::vector<HeaderField> headers)
+std::vector<HeaderField> endToEndFields(std::vector<HeaderField> headers,
+                                        const std::function<bool(std::string_view name)> &hides)
 {
     const std::string connection(headerValue(headers, "Connection"));
-    std::erase_if(headers, [&connection](const HeaderField &it) {
-        return isHopByHop(it.name, connection) || sameHeaderName(it.name, "Content-Length")
-               || sameHeaderName(it.name, header::Load) || sameHeaderName(it.name, header::Drain)
-               || sameHeaderName(it.name, header::Refused) || sameHeaderName(it.name, header::Outcome)
-               || sameHeaderName(it.name, header::ResultCode) || sameHeaderName(it.name, header::Target)
-               || sameHeaderName(it.name, header::Attempts);
+    std::erase_if(headers, [&](const HeaderField &it) {
+        return isHopByHop(it.name, connection) || sameHeaderName(it.name, "Content-Length") || hides(it.name);
     });
     return headers;
 }
 
-namespace {
-
-/// Reads "inflight=3; slots=6".
-std::optional<LoadReport> parseLoad(std::string_view text)
+std::optional<Duration> keepAliveTime(std::span<const HeaderField> headers)
 {
-    LoadReport out;
-    bool seen = false;
-    while (!text.empty()) {
-        const size_t semicolon = text.find(';');
-        const std::string_view part = trimmed(text.substr(0, semicolon));
-        const size_t equals = part.find('=');
-        if (equals == std::string_view::npos) {
-            return std::nullopt;
-        }
-        int n = 0;
-        if (!parseWhole(trimmed(part.substr(equals + 1)), n) || n < 0 || n > MaxReported) {
-            return std::nullopt;
-        }
-        const std::string_view name = trimmed(part.substr(0, equals));
-        if (sameHeaderName(name, "inflight")) {
-            out.inFlight = n;
-            seen = true;
-        } else if (sameHeaderName(name, "slots")) {
-            out.slots = n;
-        }
-        text = semicolon == std::string_view::npos ? std::string_view() : text.substr(semicolon + 1);
+    constexpr std::string_view Timeout = "timeout=";
+    const std::string_view text = headerValue(headers, "Keep-Alive");
+    const size_t at = text.find(Timeout);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
     }
-    return seen ? std::optional(out) : std::nullopt;
-}
-
-} // namespace
-
-std::optional<LoadReport> carriedLoad(std::span<const HeaderField> headers)
-{
-    auto out = parseLoad(headerValue(headers, header::Load));
-    if (sameHeaderName(headerValue(headers, header::Drain), "yes")) {
-        out = out.value_or(LoadReport());
-        out->draining = true;
-    }
-    return out;
-}
-
-bool refusedAsNotRun(const AnswerHead &head)
-{
-    const bool status = head.status == ServiceUnavailable || head.status == TooManyRequests;
-    return status && headerValue(head.headers, header::Refused) == "not-run";
+    const std::string_view number = text.substr(at + Timeout.size());
+    int seconds = 0;
+    return parseWhole(number.substr(0, number.find_first_not_of("0123456789")), seconds)
+               ? std::optional<Duration>(std::chrono::seconds(seconds))
+               : std::nullopt;
 }
 
 } // namespace damask
--- a/src/back/answer_head.h
+++ b/src/back/answer_head.h
@@ -8,6 +8,7 @@
 #include "call/message.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -19,7 +20,7 @@
     None,    // no body: HEAD, 204, 304
     Length,  // Content-Length
     Chunked, // Transfer-Encoding: chunked
-    ByClose, // neither: can't be told from a truncated one
+    ByClose, // neither: ends with the connection
 };
 
 struct AnswerHead {
@@ -33,13 +34,11 @@
 /// Reads a head up to and with its blank line. BadAnswer when any byte of it is not as RFC 9112 has it.
 Result<AnswerHead> parseAnswerHead(std::string_view head, std::string_view method);
 
-/// The end-to-end fields of an answer, without those that damaskflow writes itself.
-std::vector<HeaderField> endToEndFields(std::vector<HeaderField> headers);
+/// The end-to-end fields of an answer, without those that `hides` names.
+std::vector<HeaderField> endToEndFields(std::vector<HeaderField>                          headers,
+                                        const std::function<bool(std::string_view name)> &hides);
 
-/// The load that an answer carries in X-Damask-Load and X-Damask-Drain; none when absent or malformed.
-std::optional<LoadReport> carriedLoad(std::span<const HeaderField> headers);
-
-/// Whether the target says by its documented signal that it did not run the request.
-bool refusedAsNotRun(const AnswerHead &head);
+/// How long the target keeps the connection open while it is idle, as its Keep-Alive field says; none: it doesn't.
+std::optional<Duration> keepAliveTime(std::span<const HeaderField> headers);
 
 } // namespace damask
--- a/src/back/connection.cpp
+++ b/src/back/connection.cpp
@@ -47,7 +47,8 @@
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedLimit, sizeof UnacknowledgedLimit);
 }
 
-bool pollOne(int socket, short events, Duration timeout)
+/// The events that are there, none when the time is over.
+short pollOne(int socket, short events, Duration timeout)
 {
     pollfd n{socket, events, 0};
     const timespec limit = toTimespec(timeout);
@@ -55,7 +56,7 @@
     do {
         ready = ppoll(&n, 1, &limit, nullptr);
     } while (ready < 0 && errno == EINTR);
-    return ready > 0;
+    return ready > 0 ? n.revents : short{0};
 }
 
 int pendingError(int socket)
@@ -79,7 +80,7 @@
 
 } // namespace
 
-Result<std::unique_ptr<Connection>> Connection::open(std::string_view address, uint16_t port, Duration timeout)
+Result<std::unique_ptr<Connection>> Connection::begin(std::string_view address, uint16_t port)
 {
     const auto to = toSocketAddress(address, port);
     if (!to) {
@@ -91,20 +92,34 @@
     }
     setOptions(socket.get());
     const int began = ::connect(socket.get(), reinterpret_cast<const sockaddr *>(&*to), sizeof *to);
-    if (began != 0) {
-        if (errno != EINPROGRESS) {
-            return fail(Code::ConnectFailed, "the target refused the connection");
-        }
-        if (!pollOne(socket.get(), POLLOUT, timeout)) {
-            return fail(Code::ConnectFailed, "the target did not accept the connection in time");
-        }
-        if (pendingError(socket.get()) != 0) {
-            return fail(Code::ConnectFailed, "the target refused the connection");
-        }
+    if (began != 0 && errno != EINPROGRESS) {
+        return fail(Code::ConnectFailed, "the target refused the connection");
     }
     return std::make_unique<Connection>(std::move(socket));
 }
 
+Result<void> Connection::finish() const
+{
+    return pendingError(m_socket.get()) == 0 ? Result<void>()
+                                             : fail(Code::ConnectFailed, "the target refused the connection");
+}
+
+Result<std::unique_ptr<Connection>> Connection::open(std::string_view address, uint16_t port, Duration timeout)
+{
+    auto begun = begin(address, port);
+    if (!begun) {
+        return begun;
+    }
+    if (!(*begun)->waitFor(POLLOUT, timeout)) {
+        return fail(Code::ConnectFailed, "the target did not accept the connection in time");
+    }
+    const auto connected = (*begun)->finish();
+    if (!connected) {
+        return tl::unexpected(connected.error());
+    }
+    return begun;
+}
+
 Connection::Connection(FileDescriptor socket)
     : m_socket(std::move(socket))
 {
@@ -130,12 +145,17 @@
             out.bytes += static_cast<size_t>(n);
             dropFront({left.data(), count}, static_cast<size_t>(n));
         } else if (errno == EAGAIN) {
-            if (!waitFor(POLLOUT, timeout)) {
+            const short ready = pollOne(m_socket.get(), POLLOUT | POLLIN, timeout);
+            if (ready == 0) {
                 out.end = IoEnd::TimedOut;
                 return out;
             }
+            if ((ready & POLLOUT) == 0) {
+                out.end = IoEnd::Spoke;
+                return out;
+            }
         } else if (errno != EINTR) {
-            out.end = IoEnd::Closed;
+            out.end = IoEnd::Reset;
             return out;
         }
     }
@@ -152,9 +172,12 @@
         if (n > 0) {
             return {IoEnd::Done, static_cast<size_t>(n)};
         }
-        if (n == 0 || (errno != EINTR && errno != EAGAIN)) {
+        if (n == 0) {
             return {IoEnd::Closed, 0};
         }
+        if (errno != EINTR && errno != EAGAIN) {
+            return {IoEnd::Reset, 0};
+        }
     }
 }
 
@@ -165,6 +188,11 @@
     return n < 0 && errno == EAGAIN;
 }
 
+int Connection::descriptor() const
+{
+    return m_socket.get();
+}
+
 void Connection::cut()
 {
     shutdown(m_socket.get(), SHUT_RDWR);
@@ -172,7 +200,7 @@
 
 bool Connection::waitFor(short events, Duration timeout) const
 {
-    return pollOne(m_socket.get(), events, timeout);
+    return pollOne(m_socket.get(), events, timeout) != 0;
 }
 
 } // namespace damask
--- a/src/back/connection_table.cpp
+++ b/src/back/connection_table.cpp
@@ -24,7 +24,7 @@
     while (!at.idle.empty() && now - at.idle.back().answeredAt <= oldest) {
         Idle found = std::move(at.idle.back());
         at.idle.pop_back();
-        if (found.connection->quiet()) {
+        if (now < found.usableUntil && found.connection->quiet()) {
             ++at.inUse;
             return ConnectionLease{std::string(key), std::move(found.connection), true};
         }
@@ -49,7 +49,8 @@
     Place &at = place(lease.key);
     DAMASK_ASSERT(at.inUse > 0, "give back or drop each connection exactly once");
     --at.inUse;
-    at.idle.push_back({std::move(lease.connection), now});
+    const Duration keepFor = std::min(lease.keepFor, m_options.idleLimit);
+    at.idle.push_back({std::move(lease.connection), now, now + keepFor});
 }
 
 void ConnectionTable::drop(ConnectionLease lease)
--- a/src/back/connection_table.h
+++ b/src/back/connection_table.h
@@ -21,9 +21,10 @@
 
 /// Leave to use one connection of a target's share.
 struct ConnectionLease {
-    std::string                 key;          // of the target
-    std::shared_ptr<Connection> connection;   // empty: open a new one
-    bool                        kept = false; // it carried an answer before
+    std::string                 key;                       // of the target
+    std::shared_ptr<Connection> connection;                // empty: open a new one
+    bool                        kept = false;              // it carried an answer before
+    Duration                    keepFor = Duration::max(); // while idle, as the target said
 };
 
 class ConnectionTable
@@ -46,6 +47,7 @@
     struct Idle {
         std::shared_ptr<Connection> connection;
         TimePoint                   answeredAt;
+        TimePoint                   usableUntil; // the target may close it from then on
     };
     struct Place {
         std::vector<Idle> idle; // in the order of answeredAt
--- a/src/back/exchange.cpp
+++ b/src/back/exchange.cpp
@@ -38,7 +38,7 @@
     ssize_t read(char *out, size_t size) override
     {
         if (m_at == m_filled && !fill()) {
-            return m_code == Code::Ok ? 0 : -1;
+            return m_code == Code::Ok || endedInOrder() ? 0 : -1;
         }
         const size_t n = std::min(size, m_filled - m_at);
         std::memcpy(out, m_buffer.data() + m_at, n);
@@ -69,6 +69,11 @@
     {
         return m_head;
     }
+    /// The connection was closed in order after the whole head.
+    bool endedInOrder() const
+    {
+        return m_closed && m_headWhole;
+    }
     bool anyAnswer() const
     {
         return m_filled > 0;
@@ -91,6 +96,7 @@
             m_filled = got.bytes;
             return true;
         }
+        m_closed = got.end == IoEnd::Closed;
         m_code = got.end == IoEnd::TimedOut ? Code::AnswerTimeout : Code::ConnectionLost;
         return false;
     }
@@ -125,6 +131,7 @@
     std::array<char, 5> m_last{}; // the last bytes that the library took
     std::string m_head;
     bool m_headWhole = false;
+    bool m_closed = false;
     Code m_code = Code::Ok;
 };
 
@@ -153,7 +160,7 @@
         return head.error().code;
     }
     out = std::move(*head);
-    if (out.framing == BodyFraming::ByClose) {
+    if (out.framing == BodyFraming::ByClose && !request.closeEndsBody) {
         return Code::BadAnswer;
     }
     const bool large = out.framing == BodyFraming::Length && out.length > request.maxAnswerBytes;
@@ -191,6 +198,9 @@
     if (code != Code::Ok || (judged && out.head.framing == BodyFraming::None)) {
         return code;
     }
+    if (judged && out.head.framing == BodyFraming::ByClose) {
+        return stream.endedInOrder() ? Code::Ok : Code::BadAnswer;
+    }
     if (!whole) {
         return stream.code() == Code::Ok ? Code::BadAnswer : stream.code();
     }
@@ -222,7 +232,8 @@
     const Code code = readAnswer(stream, request, out);
     out.anyAnswer = stream.anyAnswer();
     out.code = asTruncated(code, out.anyAnswer);
-    out.reusable = out.code == Code::Ok && !out.head.close && stream.drained() && sent.end == IoEnd::Done;
+    out.reusable = out.code == Code::Ok && !out.head.close && out.head.framing != BodyFraming::ByClose
+                   && stream.drained() && sent.end == IoEnd::Done;
     return out;
 }
 
--- a/src/back/exchange.h
+++ b/src/back/exchange.h
@@ -16,8 +16,9 @@
     std::string_view method;
     std::string_view head; // request line, fields and blank line
     std::string_view body;
-    TimePoint        deadline = Never;   // of the whole answer
-    size_t           maxAnswerBytes = 0; // of the body
+    TimePoint        deadline = Never;      // of the whole answer
+    size_t           maxAnswerBytes = 0;    // of the body
+    bool             closeEndsBody = false; // a body without a length ends with an orderly close
 };
 
 /// How one exchange ended. The connection may be used again only when reusable is set.
--- a/src/back/request_head.cpp
+++ b/src/back/request_head.cpp
@@ -1,7 +1,5 @@
 #include "back/request_head.h"
 
-#include "call/headers.h"
-
 #include <algorithm>
 #include <array>
 
@@ -15,9 +13,8 @@
                                                    "TE",         "Transfer-Encoding",  "Upgrade",
                                                    "Trailer",    "Proxy-Authenticate", "Proxy-Authorization"};
 
-/// Fields that damaskflow writes itself, or answers itself (Expect).
-constexpr std::array<std::string_view, 7> WrittenHere{
-    "Host", "Content-Length", "Expect", header::RequestId, header::Deadline, header::Depth, header::Attempt};
+/// Fields that are written here for every form, or answered here (Expect).
+constexpr std::array<std::string_view, 3> WrittenHere{"Host", "Content-Length", "Expect"};
 
 std::string_view trimmed(std::string_view text)
 {
@@ -46,14 +43,6 @@
                        [name](std::string_view it) { return sameHeaderName(it, name); });
 }
 
-void appendField(std::string &out, std::string_view name, std::string_view value)
-{
-    out += name;
-    out += ": ";
-    out += value;
-    out += "\r\n";
-}
-
 void appendLine(std::string &out, std::string_view method, std::string_view path, std::string_view host)
 {
     out.reserve(HeadReserve);
@@ -69,14 +58,22 @@
     return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
 }
 
+} // namespace
+
+void appendField(std::string &out, std::string_view name, std::string_view value)
+{
+    out += name;
+    out += ": ";
+    out += value;
+    out += "\r\n";
+}
+
 std::string wholeMilliseconds(Duration duration)
 {
     const auto n = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
     return std::to_string(std::max<int64_t>(n, 1));
 }
 
-} // namespace
-
 bool isHopByHop(std::string_view name, std::string_view connectionField)
 {
     const bool known =
@@ -84,21 +81,18 @@
     return known || listHas(connectionField, name);
 }
 
-std::string requestHead(const Attempt &attempt, Duration timeLeft)
+std::string requestHead(const Attempt &attempt, Duration timeLeft, const TargetForm &form)
 {
     const CallRequest &request = attempt.request;
     const std::string_view connectionField = headerValue(request.headers, "Connection");
     std::string out;
     appendLine(out, request.method, request.path, request.host);
     for (const HeaderField &it : request.headers) {
-        if (!isHopByHop(it.name, connectionField) && !isWrittenHere(it.name)) {
+        if (!isHopByHop(it.name, connectionField) && !isWrittenHere(it.name) && !form.writes(it.name)) {
             appendField(out, it.name, it.value);
         }
     }
-    appendField(out, header::RequestId, request.requestId);
-    appendField(out, header::Deadline, wholeMilliseconds(timeLeft));
-    appendField(out, header::Depth, std::to_string(request.depth + 1));
-    appendField(out, header::Attempt, std::to_string(attempt.number));
+    form.write(attempt, timeLeft, out);
     if (hasBody(request)) {
         appendField(out, "Content-Length", std::to_string(request.body.size()));
     }
@@ -106,6 +100,14 @@
     return out;
 }
 
+std::string connectionKey(std::string_view address, uint16_t port)
+{
+    std::string out(address);
+    out += ':';
+    out += std::to_string(port);
+    return out;
+}
+
 std::string ownRequestHead(std::string_view method, std::string_view path, std::string_view host)
 {
     std::string out;
--- a/src/back/sender.cpp
+++ b/src/back/sender.cpp
@@ -2,7 +2,6 @@
 
 #include "back/connection_table.h"
 #include "back/exchange.h"
-#include "back/load_report.h"
 #include "back/request_head.h"
 
 #include <utility>
@@ -13,52 +12,27 @@
 
 constexpr size_t MaxProbeAnswer = 16UL * 1024; // bytes of a load report
 
-std::string connectionKey(std::string_view address, uint16_t port)
-{
-    std::string out(address);
-    out += ':';
-    out += std::to_string(port);
-    return out;
-}
-
-AttemptEnd endOf(const ExchangeResult &result)
-{
-    if (result.code != Code::Ok) {
-        return result.bytesSent == 0 ? AttemptEnd::NotSent : AttemptEnd::Lost;
-    }
-    return refusedAsNotRun(result.head) ? AttemptEnd::Refused : AttemptEnd::Answered;
-}
-
-void fillAnswer(AttemptResult &out, ExchangeResult &&result, std::string_view target)
-{
-    out.load = carriedLoad(result.head.headers);
-    out.answer.status = result.head.status;
-    out.answer.headers = endToEndFields(std::move(result.head.headers));
-    out.answer.body = std::move(result.body);
-    out.answer.target = target;
-    const bool answered = out.end == AttemptEnd::Answered;
-    out.answer.outcome = answered ? Outcome::Answered : Outcome::NotRun;
-    out.code = answered ? Code::Ok : Code::TargetRefused;
-    out.answer.code = out.code;
-}
-
 } // namespace
 
 struct Sender::State {
-    State(Clock &runtimeClock, Metrics &processMetrics, const SenderOptions &senderOptions)
+    State(Clock &runtimeClock, Metrics &processMetrics, const SenderOptions &senderOptions, TargetForm targetForm)
         : clock(runtimeClock)
         , metrics(processMetrics)
         , options(senderOptions)
+        , form(std::move(targetForm))
         , table(runtimeClock, {.idleLimit = senderOptions.idleLimit, .freshLimit = senderOptions.freshLimit})
     {
     }
 
     Result<ConnectionLease> connect(const Attempt &attempt, AttemptResult &out);
     void run(const Attempt &attempt, ConnectionLease lease, TimePoint deadline, AttemptResult &out);
+    void judge(const Attempt &attempt, const ExchangeResult &result, AttemptResult &out) const;
+    void fillAnswer(AttemptResult &out, ExchangeResult &&result, std::string_view target) const;
 
     Clock &clock;
     Metrics &metrics;
     SenderOptions options;
+    TargetForm form;
     ConnectionTable table;
 };
 
@@ -85,39 +59,72 @@
     const std::shared_ptr<Connection> connection = lease.connection;
     const uint64_t watch = attempt.cancel->onCancel([connection] { connection->cut(); });
     const TimePoint began = clock.now();
-    const std::string head = requestHead(attempt, deadline - began);
+    const std::string head = requestHead(attempt, deadline - began, form);
     ExchangeResult result = exchange(*connection, clock,
                                      {.method = attempt.request.method,
                                       .head = head,
                                       .body = attempt.request.body,
                                       .deadline = deadline,
-                                      .maxAnswerBytes = options.maxAnswerBytes});
+                                      .maxAnswerBytes = options.maxAnswerBytes,
+                                      .closeEndsBody = form.closeEndsBody});
     // Before the connection is given back: a later cancel must not cut it under its next user.
     attempt.cancel->forget(watch);
     const bool cancelled = attempt.cancel->cancelled();
-    out.end = endOf(result);
-    out.code = result.code;
+    if (cancelled && result.code == Code::Ok && result.head.framing == BodyFraming::ByClose) {
+        result.code = Code::Cancelled; // it was our own cut that ended the body
+    }
+    judge(attempt, result, out);
     if (result.code != Code::Ok && cancelled) {
         out.code = Code::Cancelled;
-    } else if (out.end == AttemptEnd::NotSent) {
-        out.code = Code::ConnectFailed;
     }
     if (lease.kept && !result.anyAnswer && result.code != Code::Ok && out.code != Code::Cancelled) {
         table.retireIdle(lease.key, began);
         metrics.count("damask_back_silent_connections_total");
     }
-    if (result.reusable && !cancelled) {
+    if (result.reusable && !cancelled && out.end != AttemptEnd::Lost) {
+        lease.keepFor = keepAliveTime(result.head.headers).value_or(lease.keepFor);
         table.give(std::move(lease));
     } else {
         table.drop(std::move(lease));
     }
-    if (result.code == Code::Ok) {
+    if (result.code == Code::Ok && out.end != AttemptEnd::Lost) {
         fillAnswer(out, std::move(result), attempt.address.name);
     }
 }
 
-Sender::Sender(Clock &clock, Metrics &metrics, const SenderOptions &options)
-    : m_state(std::make_unique<State>(clock, metrics, options))
+/// How far the attempt got, and why. A whole answer that is not the answer to this request proves nothing.
+void Sender::State::judge(const Attempt &attempt, const ExchangeResult &result, AttemptResult &out) const
+{
+    out.code = result.code;
+    if (result.code != Code::Ok) {
+        const bool sent = result.bytesSent > 0;
+        out.end = sent ? AttemptEnd::Lost : AttemptEnd::NotSent;
+        out.code = sent ? result.code : Code::ConnectFailed;
+        return;
+    }
+    if (const auto checked = form.check(attempt, result.head); !checked) {
+        out.end = AttemptEnd::Lost;
+        out.code = checked.error().code;
+        return;
+    }
+    const std::optional<Code> refused = form.refused(result.head);
+    out.end = refused ? AttemptEnd::Refused : AttemptEnd::Answered;
+    out.code = refused.value_or(Code::Ok);
+}
+
+void Sender::State::fillAnswer(AttemptResult &out, ExchangeResult &&result, std::string_view target) const
+{
+    out.load = form.load(result.head.headers);
+    out.answer.status = result.head.status;
+    out.answer.headers = endToEndFields(std::move(result.head.headers), form.hides);
+    out.answer.body = std::move(result.body);
+    out.answer.target = target;
+    out.answer.outcome = out.end == AttemptEnd::Answered ? Outcome::Answered : Outcome::NotRun;
+    out.answer.code = out.code;
+}
+
+Sender::Sender(Clock &clock, Metrics &metrics, const SenderOptions &options, TargetForm form)
+    : m_state(std::make_unique<State>(clock, metrics, options, std::move(form)))
 {
 }
 
@@ -153,16 +160,24 @@
     if (!connection) {
         return tl::unexpected(connection.error());
     }
-    const std::string head = ownRequestHead("GET", "/load", connectionKey(address, port));
+    const TargetAddress target{.address = std::string(address), .port = port};
+    const std::string head = ownRequestHead("GET", s.form.question(target), connectionKey(address, port));
     const ExchangeResult result = exchange(
         **connection, s.clock, {.method = "GET", .head = head, .deadline = deadline, .maxAnswerBytes = MaxProbeAnswer});
     if (result.code != Code::Ok) {
         return fail(result.code, "the load endpoint gave no whole answer");
     }
-    if (result.head.status != 200) {
-        return fail(Code::BadAnswer, "the load endpoint did not answer 200");
+    return s.form.told(target, result.head, result.body);
+}
+
+std::vector<Told> Sender::ask(std::span<const std::shared_ptr<const TargetAddress>> targets, Duration patience)
+{
+    State &s = *m_state;
+    std::vector<Told> out = askAll(s.clock, s.table, s.form, targets, patience);
+    for (const Told &it : out) {
+        s.metrics.countCode("damask_back_questions_total", it.report ? Code::Ok : it.report.error().code);
     }
-    return parseLoadReport(result.body);
+    return out;
 }
 
 ConnectionCounts Sender::connections(std::string_view address, uint16_t port) const
--- a/src/back/sender.h
+++ b/src/back/sender.h
@@ -1,9 +1,11 @@
 /// Sends attempts to targets over kept HTTP connections and says for each how far it got.
 ///
 /// Use: `Sender sender(clock, metrics, {}); hooks.send = [&](const Attempt &it) { return sender.send(it); };`
-/// Pitfall: send() and probe() block the calling thread until the answer, the deadline or a cancel.
+/// Pitfall: send(), probe() and ask() block the calling thread until the answer, the deadline or a cancel.
 #pragma once
 
+#include "back/questions.h"
+#include "back/target_form.h"
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "call/message.h"
@@ -11,7 +13,9 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string_view>
+#include <vector>
 
 namespace damask {
 
@@ -31,11 +35,12 @@
 class Sender
 {
 public:
-    Sender(Clock &clock, Metrics &metrics, const SenderOptions &options);
+    Sender(Clock &clock, Metrics &metrics, const SenderOptions &options, TargetForm form = ownTargetForm());
     ~Sender(); // closes idle connections; no send() may be running
 
     AttemptResult      send(const Attempt &attempt);
-    Result<LoadReport> probe(std::string_view address, uint16_t port, Duration timeout); // GET /load; BadAnswer
+    Result<LoadReport> probe(std::string_view address, uint16_t port, Duration timeout); // on a connection of its own
+    std::vector<Told>  ask(std::span<const std::shared_ptr<const TargetAddress>> targets, Duration patience);
     ConnectionCounts   connections(std::string_view address, uint16_t port) const;
     void               closeIdle(); // those older than idleLimit; call now and then
 
--- /dev/null
+++ b/src/back/target_form.cpp
@@ -0,0 +1,130 @@
+#include "back/target_form.h"
+
+#include "back/load_report.h"
+#include "back/request_head.h"
+#include "call/headers.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace damask {
+
+namespace {
+
+constexpr int MaxReported = 1'000'000; // in a load report; more is malformed
+constexpr int Done = 200;
+constexpr int TooManyRequests = 429;
+constexpr int ServiceUnavailable = 503;
+
+constexpr std::array<std::string_view, 4> Written{header::RequestId, header::Deadline, header::Depth, header::Attempt};
+constexpr std::array<std::string_view, 7> Hidden{header::Load,       header::Drain,  header::Refused, header::Outcome,
+                                                 header::ResultCode, header::Target, header::Attempts};
+
+bool isOneOf(std::span<const std::string_view> names, std::string_view name)
+{
+    return std::any_of(names.begin(), names.end(), [name](std::string_view it) { return sameHeaderName(it, name); });
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    const size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+template<class T>
+bool parseWhole(std::string_view text, T &out)
+{
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
+    return ec == std::errc() && end == text.data() + text.size() && !text.empty();
+}
+
+/// Reads "inflight=3; slots=6".
+std::optional<LoadReport> parseLoad(std::string_view text)
+{
+    LoadReport out;
+    bool seen = false;
+    while (!text.empty()) {
+        const size_t semicolon = text.find(';');
+        const std::string_view part = trimmed(text.substr(0, semicolon));
+        const size_t equals = part.find('=');
+        if (equals == std::string_view::npos) {
+            return std::nullopt;
+        }
+        int n = 0;
+        if (!parseWhole(trimmed(part.substr(equals + 1)), n) || n < 0 || n > MaxReported) {
+            return std::nullopt;
+        }
+        const std::string_view name = trimmed(part.substr(0, equals));
+        if (sameHeaderName(name, "inflight")) {
+            out.inFlight = n;
+            seen = true;
+        } else if (sameHeaderName(name, "slots")) {
+            out.slots = n;
+        }
+        text = semicolon == std::string_view::npos ? std::string_view() : text.substr(semicolon + 1);
+    }
+    return seen ? std::optional(out) : std::nullopt;
+}
+
+void writeFields(const Attempt &attempt, Duration timeLeft, std::string &head)
+{
+    appendField(head, header::RequestId, attempt.request.requestId);
+    appendField(head, header::Deadline, wholeMilliseconds(timeLeft));
+    appendField(head, header::Depth, std::to_string(attempt.request.depth + 1));
+    appendField(head, header::Attempt, std::to_string(attempt.number));
+}
+
+std::optional<LoadReport> carriedLoad(std::span<const HeaderField> headers)
+{
+    auto out = parseLoad(headerValue(headers, header::Load));
+    if (sameHeaderName(headerValue(headers, header::Drain), "yes")) {
+        out = out.value_or(LoadReport());
+        out->draining = true;
+    }
+    return out;
+}
+
+std::optional<Code> refusedAsNotRun(const AnswerHead &head)
+{
+    const bool status = head.status == ServiceUnavailable || head.status == TooManyRequests;
+    const bool refused = status && headerValue(head.headers, header::Refused) == "not-run";
+    return refused ? std::optional(Code::TargetRefused) : std::nullopt;
+}
+
+Result<LoadReport> toldLoad(const TargetAddress &, const AnswerHead &head, std::string_view body)
+{
+    if (head.status != Done) {
+        return fail(Code::BadAnswer, "the load endpoint did not answer 200");
+    }
+    return parseLoadReport(body);
+}
+
+} // namespace
+
+TargetForm ownTargetForm()
+{
+    TargetForm out;
+    out.write = writeFields;
+    out.writes = [](std::string_view name) {
+        return isOneOf(Written, name);
+    };
+    out.load = carriedLoad;
+    out.refused = refusedAsNotRun;
+    out.check = [](const Attempt &, const AnswerHead &) {
+        return Result<void>();
+    };
+    out.hides = [](std::string_view name) {
+        return isOneOf(Hidden, name);
+    };
+    out.question = [](const TargetAddress &) {
+        return std::string("/load");
+    };
+    out.told = toldLoad;
+    return out;
+}
+
+} // namespace damask
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <ctime>
 #include <glog/logging.h>
+#include <poll.h>
 #include <unistd.h>
 
 namespace damask {
@@ -13,7 +14,9 @@
 namespace {
 
 std::atomic<int> logLevel{static_cast<int>(Severity::Info)};
-std::string programName = "damask"; // set once before threads start
+std::atomic<uint64_t> lost{0};
+int outputDescriptor = STDERR_FILENO; // set once before threads start
+std::string programName = "damask";   // set once before threads start
 
 constexpr std::string_view Replacement = "\xef\xbf\xbd"; // U+FFFD
 
@@ -113,6 +116,13 @@
     return "error";
 }
 
+/// Whether a line can be written without waiting.
+bool takesNow()
+{
+    pollfd it{outputDescriptor, POLLOUT, 0};
+    return ::poll(&it, 1, 0) > 0;
+}
+
 /// The one sink: a message of glog is a finished JSON line.
 class JsonSink : public google::LogSink
 {
@@ -127,8 +137,8 @@
             line = wrapped + "}";
         }
         line += '\n';
-        if (::write(STDERR_FILENO, line.data(), line.size()) < 0) {
-            return; // nowhere left to report it
+        if (!takesNow() || ::write(outputDescriptor, line.data(), line.size()) < 0) {
+            lost.fetch_add(1, std::memory_order_relaxed); // told by a metric: there is nowhere left to write it
         }
     }
 };
@@ -179,8 +189,9 @@
 {
 }
 
-void startLogging(std::string_view program)
+void startLogging(std::string_view program, LogOutput output)
 {
+    outputDescriptor = output == LogOutput::StandardOutput ? STDOUT_FILENO : STDERR_FILENO;
     programName = program;
     FLAGS_logtostderr = false;
     FLAGS_stderrthreshold = google::NUM_SEVERITIES; // the sink alone writes
@@ -218,6 +229,11 @@
     }
 }
 
+uint64_t lostLogLines()
+{
+    return lost.load(std::memory_order_relaxed);
+}
+
 void setLogLevel(Severity level)
 {
     logLevel = static_cast<int>(level);
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,4 +1,4 @@
-/// Structured logs: one JSON object a line on stderr, through glog.
+/// Structured logs: one JSON object a line on standard error or output, through glog.
 ///
 /// Use: `logEvent(Severity::Info, "call-refused", {{"code", 104}, {"requestId", id}});`
 /// Strings are escaped and invalid UTF-8 is replaced, so nothing a caller sends can break a line.
@@ -34,8 +34,17 @@
     Value            value;
 };
 
+/// Where lines go. A line is left out, and counted, rather than waited for.
+enum class LogOutput {
+    StandardError,
+    StandardOutput,
+};
+
 /// Puts the sink in place; call once at the start of main with the program's name.
-void startLogging(std::string_view program);
+void startLogging(std::string_view program, LogOutput output = LogOutput::StandardError);
+
+/// Lines left out since the start, because nobody took them in time.
+uint64_t lostLogLines();
 
 /// Writes one event. Safe from all threads; drops below the level set by setLogLevel().
 void logEvent(Severity severity, std::string_view event, std::initializer_list<LogField> fields = {});
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -33,6 +33,7 @@
     TargetShares = 113,
     EntryBusy = 114,
     EntryPaused = 115,
+    TargetReplaced = 116,
 
     // 2xx: the call may have run ("unknown"), or its answer could not be used
     AnswerTimeout = 201,
@@ -74,6 +75,7 @@
     StoreTooLarge = 605,
     LeaseLapsed = 606,
     NotFound = 607,
+    StoreHistoryGone = 608,
 
     // 7xx: the inner protocol and operators' access
     BadMessage = 701,
--- a/src/base/worker_pool.cpp
+++ b/src/base/worker_pool.cpp
@@ -9,9 +9,6 @@
     , m_available(clock)
 {
     DAMASK_ASSERT(options.threads > 0, "give the pool at least one thread");
-    for (size_t n = 0; n < options.threads; ++n) {
-        m_threads.emplace_back(options.name, [this] { work(); });
-    }
 }
 
 WorkerPool::~WorkerPool()
@@ -29,7 +26,11 @@
         return fail(Code::QueueFull, m_options.name);
     }
     m_queue.push_back(std::move(task));
-    m_available.notifyOne();
+    if (m_queue.size() > m_waiting && m_threads.size() < m_options.threads) {
+        m_threads.emplace_back(m_options.name, [this] { work(); });
+    } else {
+        m_available.notifyOne();
+    }
     return {};
 }
 
@@ -57,6 +58,12 @@
     return m_queue.size();
 }
 
+size_t WorkerPool::threads() const
+{
+    LockGuard lock(m_mutex);
+    return m_threads.size();
+}
+
 void WorkerPool::work()
 {
     Task task;
@@ -75,7 +82,9 @@
         if (m_closed) {
             return false;
         }
+        ++m_waiting;
         m_available.wait(lock);
+        --m_waiting;
     }
     task = std::move(m_queue.front());
     m_queue.pop_front();
--- a/src/base/worker_pool.h
+++ b/src/base/worker_pool.h
@@ -1,4 +1,4 @@
-/// A bounded pool of POSIX threads over one queue.
+/// A bounded pool of POSIX threads over one queue. A thread is started when a task finds none free, and then stays.
 ///
 /// Use: `WorkerPool pool(clock, {.name = "front", .threads = 64}); pool.submit([] { ... });`
 /// Pitfall: a task that waits for another task of the same pool can wait for ever; use a second pool.
@@ -18,7 +18,7 @@
 /// Options of a WorkerPool.
 struct WorkerPoolOptions {
     std::string name = "worker";   // thread name, at most 15 bytes
-    size_t      threads = 4;       // threads, 1 or more
+    size_t      threads = 4;       // threads at most, 1 or more
     size_t      queueLimit = 1024; // tasks waiting at most; more are refused with QueueFull
 };
 
@@ -34,6 +34,7 @@
     void         drain();           // takes no more, finishes what is queued, joins all threads
     size_t       busy() const;      // threads that run a task now
     size_t       queued() const;    // tasks that wait now
+    size_t       threads() const;   // threads started so far
 
 private:
     void work();
@@ -44,6 +45,7 @@
     Condition           m_available;
     std::deque<Task>    m_queue;
     size_t              m_busy = 0;
+    size_t              m_waiting = 0; // threads that wait for a task
     bool                m_closed = false;
     std::vector<Thread> m_threads;
 };
--- a/src/call/message.h
+++ b/src/call/message.h
@@ -59,9 +59,11 @@
 
 /// The load that a target reports of itself, on an answer or on its load endpoint.
 struct LoadReport {
-    int  inFlight = 0;     // requests it runs and queues
-    int  slots = 0;        // requests it runs at once
-    bool draining = false; // takes no new work
+    int    inFlight = 0;     // requests it runs and queues
+    int    slots = 0;        // requests it runs at once
+    bool   draining = false; // takes no new work
+    bool   unwell = false;   // calls itself not well; told only when it was asked
+    double slowdown = 0;     // time that work takes there at the moment, 1: as usual; 0: not told
 };
 
 /// How far one attempt got.
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -21,7 +21,10 @@
     uint16_t    port = 0;         // TCP
     std::string dataCentre;       // name of a DataCentre
     int         slots = 1;        // requests it runs at once
-    bool        draining = false; // takes no new work: set by a ticket
+    bool        draining = false; // takes no new work: set by a ticket or by its registry
+    std::string instance;         // identity that it has to confirm with each request; empty: not checked
+    int64_t     startedAt = 0;    // of its process, ms since 1970; another value is another process. 0: not known
+    Duration    coldLeft{0};      // how much longer it is slow after its start, when it was learnt
 
     bool operator==(const Target &) const = default;
 };
@@ -45,9 +48,12 @@
     int         queueLimit = 64;                            // calls that wait for a slot in one entry
     Duration    queueWait = std::chrono::milliseconds(100); // waiting for a slot, at most
     double      retryRatio = 0.1;                           // retries and hedges for each call, at most
+    double      retrySlack = 10;                            // retries besides, in any retryWindow
+    Duration    retryWindow = std::chrono::seconds(10);     // every span of this length keeps to the ratio
     bool        hedge = false;                              // a second attempt for late idempotent calls
     Duration    hedgeAfter = std::chrono::milliseconds(50); // least time before a hedge
     int         connectionShare = 12;                       // connections one entry holds to one target
+    std::string healthPath;                                 // where targets tell how they are; empty: the usual one
     double      measureBytesPerSecond = 4096;               // budget for probes from one entry
     double      measureProbesPerSecond = 20;                // budget for probes from one entry
     double      regionBytesPerSecond = 1e6;                 // calls' bytes to other regions from one entry
@@ -68,6 +74,14 @@
 
 #pragma GCC diagnostic pop
 
+/// One part of a rule whose requests are split between services.
+struct ServiceShare {
+    std::string service;    // name of the Service
+    double      weight = 0; // share of the requests, in proportion to the other parts' weights
+
+    bool operator==(const ServiceShare &) const = default;
+};
+
 /// Where requests may go. The rule with the longest matching prefix decides; one that names a host goes first.
 struct Rule {
     std::string              name;
@@ -78,6 +92,14 @@
     Idempotency              idempotency = Idempotency::ByMethod;
     std::vector<std::string> dataCentres; // where requests may go; empty: anywhere
 
+    // From a watched configuration only; tickets do not set these.
+    std::vector<ServiceShare> split;               // instead of service: parts of the requests go to each
+    Duration                  timeout{0};          // longest time that a caller is kept waiting; 0: its deadline
+    Duration                  objective{0};        // answers are wanted within it; 0: none
+    int                       maxAttempts = 0;     // targets that one call may be sent to; 0: the usual three
+    int                       rank = 0;            // 0 is the most urgent
+    bool                      retryErrors = false; // an idempotent call is sent again after an answer of 5xx
+
     bool operator==(const Rule &) const = default;
 };
 
--- /dev/null
+++ b/src/follow/compose.cpp
@@ -0,0 +1,51 @@
+#include "follow/compose.h"
+
+#include <algorithm>
+
+namespace damask {
+
+namespace {
+
+Target toTarget(const RegisteredTarget &from)
+{
+    Target out;
+    out.name = from.id;
+    out.address = from.address;
+    out.port = from.port;
+    out.dataCentre = from.dataCentre;
+    out.slots = from.slots;
+    out.draining = from.draining;
+    out.instance = from.id;
+    out.startedAt = from.startedAt;
+    out.coldLeft = from.coldLeft;
+    return out;
+}
+
+} // namespace
+
+Configuration compose(const WatchedConfiguration &watched, std::span<const RegisteredTarget> targets,
+                      std::span<const DataCentre> dataCentres, uint64_t revision)
+{
+    Configuration out;
+    out.revision = revision;
+    out.services = watched.services;
+    out.rules = watched.rules;
+    out.dataCentres.assign(dataCentres.begin(), dataCentres.end());
+    for (Service &service : out.services) {
+        service.pool = service.name;
+        Pool pool{.name = service.name, .version = revision};
+        int slots = 1;
+        for (const RegisteredTarget &it : targets) {
+            if (it.service == service.name) {
+                pool.targets.push_back(toTarget(it));
+                slots = std::max(slots, it.slots);
+            }
+        }
+        // More connections than a target can work on and queue a little for would only wait there.
+        service.connectionShare = std::min(service.connectionShare, 2 * slots);
+        out.pools.push_back(std::move(pool));
+    }
+    return out;
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/follow/registry.cpp
@@ -0,0 +1,199 @@
+#include "follow/registry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace damask {
+
+namespace {
+
+constexpr size_t MostLastWrites = 4096; // ids remembered after their targets are gone
+constexpr size_t MassLeast = 3;         // targets of a service below which no removal counts as one of most
+
+} // namespace
+
+std::string_view registryEndName(RegistryEnd end)
+{
+    switch (end) {
+    case RegistryEnd::Added:
+        return "added";
+    case RegistryEnd::Changed:
+        return "changed";
+    case RegistryEnd::Same:
+        return "same";
+    case RegistryEnd::Stale:
+        return "stale";
+    case RegistryEnd::Draining:
+        return "draining";
+    case RegistryEnd::Held:
+        return "held";
+    case RegistryEnd::Gone:
+        return "gone";
+    }
+    return "gone";
+}
+
+Registry::Registry(const RegistryOptions &options, Report report)
+    : m_options(options)
+    , m_report(std::move(report))
+{
+}
+
+void Registry::report(std::string_view id, RegistryEnd end, std::string_view detail) const
+{
+    if (m_report) {
+        m_report(id, end, detail);
+    }
+}
+
+bool Registry::stale(const RegisteredTarget &target) const
+{
+    const auto it = m_lastWrites.find(target.id);
+    if (it == m_lastWrites.end()) {
+        return false;
+    }
+    const LastWrite &last = it->second;
+    return target.revision < last.revision || target.startedAt < last.startedAt
+           || (target.startedAt == last.startedAt && target.sequence < last.sequence);
+}
+
+void Registry::put(const RegisteredTarget &target)
+{
+    if (stale(target)) {
+        report(target.id, RegistryEnd::Stale, "written before what is known of it");
+        return;
+    }
+    m_lastWrites[target.id] = {target.startedAt, target.sequence, target.revision};
+    const auto [it, fresh] = m_entries.try_emplace(target.id, Entry{target});
+    Entry &entry = it->second;
+    const bool wasHeld = std::exchange(entry.heldUntil, Never) != Never;
+    RegisteredTarget before = std::exchange(entry.target, target);
+    entry.heldOnce = false;
+    before.sequence = target.sequence;
+    before.revision = target.revision;
+    if (fresh) {
+        report(target.id, target.draining ? RegistryEnd::Draining : RegistryEnd::Added);
+    } else if (target.draining && !before.draining) {
+        report(target.id, RegistryEnd::Draining);
+    } else {
+        report(target.id, before == target && !wasHeld ? RegistryEnd::Same : RegistryEnd::Changed);
+    }
+}
+
+bool Registry::mostAreGone(std::string_view service) const
+{
+    size_t all = 0;
+    size_t held = 0;
+    for (const auto &[id, it] : m_entries) {
+        const bool counts = it.target.service == service && !it.target.draining;
+        all += counts ? 1 : 0;
+        held += counts && it.heldUntil != Never ? 1 : 0;
+    }
+    return all >= MassLeast && held * 2 > all;
+}
+
+/// How long an entry that went may still come back; `now` when it is gone for good.
+TimePoint Registry::holdUntil(const Entry &entry, TimePoint now) const
+{
+    if (entry.target.draining) {
+        return now;
+    }
+    if (m_storeLost) {
+        return now + m_options.lapseHold; // moved on by storeBack()
+    }
+    return m_everLost ? std::max(now, m_storeBackAt + m_options.lapseHold) : now;
+}
+
+void Registry::remove(std::string_view id, uint64_t revision, TimePoint now)
+{
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end() || it->second.heldUntil != Never || revision < it->second.target.revision) {
+        return;
+    }
+    m_lastWrites[it->first].revision = revision;
+    // A hold of no length ends with the next expire(), so that removals that come together are seen together.
+    it->second.heldUntil = holdUntil(it->second, now);
+    if (it->second.heldUntil > now) {
+        report(id, RegistryEnd::Held, "the store was away");
+    }
+}
+
+void Registry::replace(std::span<const RegisteredTarget> targets, uint64_t revision, TimePoint now)
+{
+    for (const RegisteredTarget &it : targets) {
+        put(it);
+    }
+    for (const auto &[id, entry] : m_entries) {
+        const bool listed =
+            std::any_of(targets.begin(), targets.end(), [&id = id](const RegisteredTarget &it) { return it.id == id; });
+        if (!listed) {
+            remove(id, revision, now);
+        }
+    }
+}
+
+void Registry::storeLost()
+{
+    m_storeLost = true;
+    m_everLost = true;
+}
+
+void Registry::storeBack(TimePoint now)
+{
+    if (!std::exchange(m_storeLost, false)) {
+        return;
+    }
+    m_storeBackAt = now;
+    for (auto &[id, it] : m_entries) {
+        if (it.heldUntil != Never && !it.target.draining) {
+            it.heldUntil = std::max(it.heldUntil, now + m_options.lapseHold);
+        }
+    }
+}
+
+bool Registry::expire(TimePoint now)
+{
+    bool changed = false;
+    for (auto &[id, it] : m_entries) {
+        const bool due = it.heldUntil <= now && !it.target.draining && !it.heldOnce;
+        if (due && mostAreGone(it.target.service)) {
+            it.heldOnce = true;
+            it.heldUntil = now + m_options.massHold;
+            report(id, RegistryEnd::Held, "most of its service went at once");
+        }
+    }
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        if (it->second.heldUntil > now) {
+            ++it;
+            continue;
+        }
+        report(it->first, RegistryEnd::Gone);
+        it = m_entries.erase(it);
+        changed = true;
+    }
+    while (m_lastWrites.size() > MostLastWrites) {
+        m_lastWrites.erase(m_lastWrites.begin());
+    }
+    return changed;
+}
+
+TimePoint Registry::nextExpiry() const
+{
+    TimePoint out = Never;
+    for (const auto &[id, it] : m_entries) {
+        out = std::min(out, it.heldUntil);
+    }
+    return out;
+}
+
+std::vector<RegisteredTarget> Registry::targets() const
+{
+    std::vector<RegisteredTarget> out;
+    out.reserve(m_entries.size());
+    for (const auto &[id, it] : m_entries) {
+        out.push_back(it.target);
+    }
+    return out;
+}
+
+} // namespace damask
--- a/src/front/caller_connection.h
+++ b/src/front/caller_connection.h
@@ -41,6 +41,7 @@
     RequestReader reader;
     RequestHead   head;                // of the request being answered
     TimePoint     firstByteAt = Never; // of the request being read
+    TimePoint     idleSince{};         // last, without a byte of a next request
     TimePoint     deadline = Never;    // as given to the timer
     std::string   out;                 // answer being sent
     size_t        sent = 0;            // of out
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -40,9 +40,12 @@
     it->head.keepAlive = whole.head.keepAlive;
     const TimePoint arrivedAt = it->firstByteAt == Never ? clock.now() : it->firstByteAt;
     it->firstByteAt = it->reader.idle() ? Never : clock.now();
-    auto call = toCall(std::move(whole), {it->peer, arrivedAt, [this] {
-                                              return makeRequestId(random);
-                                          }});
+    auto call = toCall(std::move(whole),
+                       {it->peer, arrivedAt,
+                        [this] {
+                            return makeRequestId(random);
+                        }},
+                       form);
     if (!call) {
         answerHere(*it, {}, call.error());
         return nullptr;
--- a/src/front/drive.cpp
+++ b/src/front/drive.cpp
@@ -79,7 +79,8 @@
 {
     if (it->reader.idle()) {
         it->firstByteAt = Never;
-        setDeadline(*it, Never);
+        it->idleSince = clock.now();
+        setDeadline(*it, idleEnd(*it));
     } else {
         setDeadline(*it, readDeadline(*it));
     }
@@ -121,6 +122,13 @@
     return it.firstByteAt + options.sendTimeout + fromMilliseconds(bought * 1000);
 }
 
+/// When an idle connection closes, by the time-out in force now.
+TimePoint FrontServer::State::idleEnd(const CallerConnection &it) const
+{
+    const Duration timeout(idleTimeout.load());
+    return timeout > Duration::zero() && it.requests > 0 ? it.idleSince + timeout : Never;
+}
+
 void FrontServer::State::setDeadline(CallerConnection &it, TimePoint deadline)
 {
     if (it.deadline != deadline) {
--- a/src/front/exchange.cpp
+++ b/src/front/exchange.cpp
@@ -16,15 +16,18 @@
 
 /// What one thread is at: the library hands its hooks no context of their own.
 struct Running {
-    Running(const AnswerHook &answer, const std::function<bool()> &closing, std::string_view id)
+    Running(const AnswerHook &answer, const std::function<bool()> &closing, const CallerForm &callerForm,
+            std::string_view id)
         : hook(answer)
         , mustClose(closing)
+        , form(callerForm)
         , requestId(id)
     {
     }
 
     const AnswerHook &hook;
     const std::function<bool()> &mustClose;
+    const CallerForm &form;
     std::string_view requestId;
     bool close = false;
     bool called = false;
@@ -153,14 +156,15 @@
     static void answer(const httplib::Request &request, httplib::Response &out)
     {
         running->called = true;
-        running->fields = answerFields(unknownAnswer(), running->requestId, false); // in case the hook throws
+        running->fields =
+            answerFields(unknownAnswer(), running->requestId, false, running->form); // in case the hook throws
         Answer given = running->hook(request.method, request.target);
         running->close = running->close || running->mustClose();
         if (given.status < LowestStatus || given.status > HighestStatus) {
             given = unknownAnswer();
         }
         const bool headMethod = request.method == "HEAD";
-        running->fields = answerFields(given, running->requestId, headMethod);
+        running->fields = answerFields(given, running->requestId, headMethod, running->form);
         running->hasLength = !headerValue(running->fields, "Content-Length").empty();
         out.status = given.status;
         if (!hasNoBody(given.status)) {
@@ -169,8 +173,9 @@
     }
 };
 
-HttpExchange::HttpExchange(std::function<bool()> leaving)
+HttpExchange::HttpExchange(std::function<bool()> leaving, CallerForm form)
     : m_leaving(std::move(leaving))
+    , m_form(std::move(form))
     , m_library(std::make_unique<Library>())
 {
     refuse(Answer{}); // the library fills its tables on first use: do that before threads share them
@@ -186,7 +191,7 @@
 EncodedAnswer HttpExchange::runWith(const RequestHead &head, std::string_view requestId, const AnswerHook &hook,
                                     const std::function<bool()> &mustClose)
 {
-    Running now(hook, mustClose, requestId);
+    Running now(hook, mustClose, m_form, requestId);
     running = &now;
     const std::string text = headForLibrary(head);
     MemoryStream stream(text);
--- a/src/front/exchange.h
+++ b/src/front/exchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "call/message.h"
+#include "front/caller_form.h"
 #include "front/head.h"
 
 #include <functional>
@@ -24,7 +25,8 @@
 class HttpExchange
 {
 public:
-    explicit HttpExchange(std::function<bool()> leaving); // asked after each answer: must its connection close?
+    /// `leaving` is asked after each answer: must its connection close?
+    explicit HttpExchange(std::function<bool()> leaving, CallerForm form = ownCallerForm());
     ~HttpExchange();
 
     /// The hook is called at most once; not at all when the request line is malformed (answered with BadRequest).
@@ -40,6 +42,7 @@
                           const std::function<bool()> &mustClose);
 
     std::function<bool()>    m_leaving;
+    CallerForm               m_form;
     std::unique_ptr<Library> m_library;
 };
 
--- a/src/front/poller.cpp
+++ b/src/front/poller.cpp
@@ -143,6 +143,8 @@
     if (phase == Phase::Reading && !it->reader.idle()) {
         refuseAndClose(*it, {Code::SlowSender, "the whole request did not come in time"});
         advance(it);
+    } else if (phase == Phase::Reading && idleEnd(*it) != Never && idleEnd(*it) > clock.now()) {
+        setDeadline(*it, idleEnd(*it)); // the time-out was made longer meanwhile
     } else if (phase == Phase::Reading) {
         if (!hasInput(it->socket.get())) {
             linger(it);
@@ -203,8 +205,13 @@
 void FrontServer::State::takeConnection(AcceptResult accepted)
 {
     const uint64_t id = nextId++;
+    RequestLimits bounds;
+    {
+        LockGuard lock(mutex);
+        bounds = limits;
+    }
     const auto it =
-        std::make_shared<CallerConnection>(id, std::move(accepted.socket), std::move(accepted.peer), options.limits);
+        std::make_shared<CallerConnection>(id, std::move(accepted.socket), std::move(accepted.peer), bounds);
     size_t open = 0;
     {
         LockGuard lock(mutex);
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -19,12 +19,13 @@
 
 } // namespace
 
-FrontServer::State::State(Clock &c, Metrics &m, const FrontOptions &o, CallHandler h)
+FrontServer::State::State(Clock &c, Metrics &m, const FrontOptions &o, CallHandler h, CallerForm f)
     : clock(c)
     , metrics(m)
     , options(o)
     , handler(std::move(h))
-    , exchange([this] { return leaving.load(); })
+    , form(std::move(f))
+    , exchange([this] { return leaving.load(); }, form)
     , admission(o.admission)
     , random(systemRandom())
     , requests(m.counter("damask_front_requests_total"))
@@ -35,13 +36,15 @@
     , nextId(ListenerId + 1)
     , logBudget({.perSecond = LogLinesPerSecond, .burst = LogBurst}, c.now())
     , changed(c)
+    , limits(o.limits)
     , timer(c, [this] { events.wake(); })
     , workers(c, {.name = "front-worker", .threads = o.admission.workers + 1, .queueLimit = o.admission.workers + 1})
 {
 }
 
-FrontServer::FrontServer(Clock &clock, Metrics &metrics, const FrontOptions &options, CallHandler handler)
-    : m_state(std::make_unique<State>(clock, metrics, options, std::move(handler)))
+FrontServer::FrontServer(Clock &clock, Metrics &metrics, const FrontOptions &options, CallHandler handler,
+                         CallerForm form)
+    : m_state(std::make_unique<State>(clock, metrics, options, std::move(handler), std::move(form)))
 {
 }
 
@@ -74,6 +77,13 @@
     return {};
 }
 
+void FrontServer::bound(const RequestLimits &limits, Duration idle)
+{
+    m_state->idleTimeout = idle.count();
+    LockGuard lock(m_state->mutex);
+    m_state->limits = limits;
+}
+
 void FrontServer::leave()
 {
     m_state->leaving = true;
--- a/src/front/server.h
+++ b/src/front/server.h
@@ -11,6 +11,7 @@
 #include "call/cancel.h"
 #include "call/message.h"
 #include "front/admission.h"
+#include "front/caller_form.h"
 #include "front/request_reader.h"
 
 #include <cstdint>
@@ -50,10 +51,12 @@
 class FrontServer
 {
 public:
-    FrontServer(Clock &clock, Metrics &metrics, const FrontOptions &options, CallHandler handler);
+    FrontServer(Clock &clock, Metrics &metrics, const FrontOptions &options, CallHandler handler,
+                CallerForm form = ownCallerForm());
     ~FrontServer(); // stops
 
-    Result<void> start();      // SystemError when the port can't be had
+    Result<void> start();                                           // SystemError when the port can't be had
+    void         bound(const RequestLimits &limits, Duration idle); // from now on; idle 0: kept open for good
     void         leave();      // from now on each answer closes its connection; still takes and serves calls
     void         stop();       // takes no more connections, closes idle ones, returns when all calls have ended
     uint16_t     port() const; // the one listened on, after start()
--- a/src/front/state.h
+++ b/src/front/state.h
@@ -18,7 +18,7 @@
 namespace damask {
 
 struct FrontServer::State {
-    State(Clock &clock, Metrics &metrics, const FrontOptions &options, CallHandler handler);
+    State(Clock &clock, Metrics &metrics, const FrontOptions &options, CallHandler handler, CallerForm form);
 
     // poller.cpp: on the poller's thread, which is the worker that runs poll() at the moment
     void poll();
@@ -41,6 +41,7 @@
     void             parkForReading(const CallerPtr &it);
     bool             park(const CallerPtr &it, Phase phase, uint32_t events);
     void             close(const CallerPtr &it);
+    TimePoint        idleEnd(const CallerConnection &it) const;
     TimePoint        readDeadline(const CallerConnection &it) const;
     void             setDeadline(CallerConnection &it, TimePoint deadline);
     void             account(CallerConnection &it);
@@ -60,6 +61,7 @@
     Metrics     &metrics;
     FrontOptions options;
     CallHandler  handler;
+    CallerForm   form;
     HttpExchange exchange;
     Admission    admission;
     RandomSource random;
@@ -81,10 +83,12 @@
     TokenBucket           logBudget; // under logMutex: lines on refused requests
     std::atomic<bool>     leaving{false};
     std::atomic<bool>     done{false};
+    std::atomic<int64_t>  idleTimeout{0}; // ns, 0: none
 
     mutable RankedMutex                     mutex{LockRank::Server};
     Condition                               changed; // a connection closed, or the listener
     std::unordered_map<uint64_t, CallerPtr> connections;
+    RequestLimits                           limits; // of connections from now on
     bool                                    stopping = false;
     bool                                    listening = false;
 
--- a/src/front/translate.h
+++ b/src/front/translate.h
@@ -3,6 +3,7 @@
 
 #include "base/time.h"
 #include "call/message.h"
+#include "front/caller_form.h"
 #include "front/request_reader.h"
 
 #include <functional>
@@ -18,8 +19,8 @@
     std::function<std::string()> makeId;    // a request id, when the caller gave none
 };
 
-/// Everything but method and path, which the library reads. BadDeadline, BadDepth, BadRequest (id or caller name).
-Result<CallRequest> toCall(WholeRequest request, const CallContext &context);
+/// Everything but method and path, which the library reads. Fails as the form's read() does.
+Result<CallRequest> toCall(WholeRequest request, const CallContext &context, const CallerForm &form);
 
 /// The answer that tells a caller why its request was refused.
 Answer refusal(const Error &error);
@@ -28,6 +29,7 @@
 int refusalStatus(Code code);
 
 /// The fields to write: the target's end-to-end ones, then ours. Each line is free of control characters.
-std::vector<HeaderField> answerFields(const Answer &answer, std::string_view requestId, bool headMethod);
+std::vector<HeaderField> answerFields(const Answer &answer, std::string_view requestId, bool headMethod,
+                                      const CallerForm &form);
 
 } // namespace damask
--- /dev/null
+++ b/src/programs/damask-node/node.cpp
@@ -0,0 +1,323 @@
+#include "programs/damask-node/node.h"
+
+#include "base/log.h"
+#include "base/thread.h"
+#include "operate/routes.h"
+
+#include <atomic>
+#include <unistd.h>
+
+namespace damask {
+
+namespace {
+
+constexpr Duration TidyInterval = std::chrono::seconds(5); // between two closings of idle connections to targets
+constexpr double LastShareOfGrace = 1.0 / 12;              // of the grace, kept for the process to end by itself
+
+} // namespace
+
+struct Node::State {
+    State(Clock &c, Metrics &m, const NodeOptions &o, NodeForm f);
+
+    Result<Permit> acquire(const AcquireRequest &request);
+    std::vector<LoadNews> ask(std::span<const Prospect> prospects, Duration patience);
+    void apply(std::shared_ptr<const Configuration> next, const WatchedConfiguration &watched);
+    FollowerOptions followerOptions() const;
+    WatchedConfiguration readConfiguration(WatchedConfiguration read) const;
+    Result<void> readiness() const;
+    std::string status() const;
+    void tidy();
+    void limitStop(TimePoint latest);
+    void waitNotice(TimePoint until);
+
+    Clock &clock;
+    Metrics &metrics;
+    NodeOptions options;
+    NodeForm form;
+    std::atomic<bool> leaving{false};
+    std::atomic<bool> configured{false};
+
+    RankedMutex stopMutex{LockRank::Program};
+    Condition stopChanged; // wakes the tidying thread, and the one that limits a stop
+    bool stopped = false;  // under stopMutex
+
+    Sender sender;
+    Balancer balancer;
+    Look look;
+    Dispatcher dispatcher;
+    FrontServer front;
+    StoreClient store;
+    Follower follower;
+    OperateServer readyServer;
+    OperateServer operate;
+    Thread tidier;
+};
+
+Node::State::State(Clock &c, Metrics &m, const NodeOptions &o, NodeForm f)
+    : clock(c)
+    , metrics(m)
+    , options(o)
+    , form(std::move(f))
+    , stopChanged(c)
+    , sender(c, m, o.sender, form.target)
+    , balancer(c, m, o.balancer)
+    , look(c, o.look,
+           {.promising = [this](const AcquireRequest &request,
+                                size_t most) { return balancer.promising(request, most); },
+            .ask = [this](std::span<const Prospect> prospects, Duration patience) { return ask(prospects, patience); },
+            .absorb =
+                [this](std::span<const LoadNews> news) {
+                    balancer.absorb(news);
+                }})
+    , dispatcher(
+          c, m, o.dispatcher,
+          {.send = [this](const Attempt &attempt) { return sender.send(attempt); },
+           .acquire = [this](const AcquireRequest &request) { return acquire(request); },
+           .finish = [this](const Permit &permit, const PermitReport &report) { balancer.finish(permit, report); },
+           .status =
+               [this](std::string_view service) {
+                   return balancer.status(service);
+               }})
+    , front(
+          c, m, o.front,
+          [this](const CallRequest &call, CancelToken &cancel) { return dispatcher.dispatch(call, cancel); },
+          form.caller)
+    , store(c, m, o.store, form.store)
+    , follower(c, m, store, followerOptions(),
+               {.readConfiguration =
+                    [this](std::string_view value) {
+                        return form.readConfiguration(value).map(
+                            [this](WatchedConfiguration it) { return readConfiguration(std::move(it)); });
+                    },
+                .readTarget = form.readTarget,
+                .apply =
+                    [this](std::shared_ptr<const Configuration> next, const WatchedConfiguration &watched) {
+                        apply(std::move(next), watched);
+                    }})
+    , readyServer(o.readiness)
+    , operate(o.operate)
+{
+}
+
+/// Asks the likeliest targets first, so that the choice rests on what holds now.
+Result<Permit> Node::State::acquire(const AcquireRequest &request)
+{
+    look.before(request);
+    return balancer.acquire(request);
+}
+
+std::vector<LoadNews> Node::State::ask(std::span<const Prospect> prospects, Duration patience)
+{
+    std::vector<std::shared_ptr<const TargetAddress>> targets;
+    targets.reserve(prospects.size());
+    for (const Prospect &it : prospects) {
+        targets.push_back(it.address);
+    }
+    const std::vector<Told> told = sender.ask(targets, patience);
+    std::vector<LoadNews> news;
+    for (size_t n = 0; n < told.size(); ++n) {
+        LoadNews it;
+        it.target = targets[n]->name;
+        if (told[n].report) {
+            it.report = *told[n].report;
+            it.asked = true;
+        } else if (told[n].report.error().code == Code::TargetShares) {
+            continue; // our own limit; nothing was learnt
+        } else if (told[n].report.error().code == Code::TargetReplaced) {
+            it.leaving = true;
+        } else {
+            it.silent = true;
+        }
+        news.push_back(std::move(it));
+    }
+    return news;
+}
+
+FollowerOptions Node::State::followerOptions() const
+{
+    FollowerOptions out = options.follower;
+    out.configurationKey = form.configurationKey;
+    out.targetPrefix = form.targetPrefix;
+    out.watchedPrefix = form.watchedPrefix;
+    return out;
+}
+
+/// What the operators' configuration leaves to the settings.
+WatchedConfiguration Node::State::readConfiguration(WatchedConfiguration read) const
+{
+    for (Service &it : read.services) {
+        it.queueLimit = static_cast<int>(options.queueLimit);
+        it.queueWait = options.queueWait;
+        it.retryRatio = options.retryRatio;
+        it.retrySlack = 0; // a node that keeps to its own calls needs no share of what all may send besides
+        it.retryWindow = options.retryWindow;
+    }
+    return read;
+}
+
+void Node::State::apply(std::shared_ptr<const Configuration> next, const WatchedConfiguration &watched)
+{
+    balancer.apply(next);
+    dispatcher.apply(next);
+    front.bound({watched.limits.headerBytes, watched.limits.bodyBytes}, watched.limits.idleTimeout);
+    size_t targets = 0;
+    for (const Pool &it : next->pools) {
+        targets += it.targets.size();
+    }
+    logEvent(Severity::Info, "configuration-applied",
+             {{"revision", next->revision},
+              {"version", watched.version},
+              {"rules", static_cast<uint64_t>(next->rules.size())},
+              {"services", static_cast<uint64_t>(next->services.size())},
+              {"targets", static_cast<uint64_t>(targets)}});
+    if (!configured.exchange(true)) {
+        logEvent(Severity::Info, "ready", {{"version", watched.version}});
+    }
+}
+
+Result<void> Node::State::readiness() const
+{
+    if (leaving) {
+        return fail(Code::EntryLeaving, "the node is stopping");
+    }
+    return configured ? Result<void>() : fail(Code::NoConfiguration, "no configuration has been read yet");
+}
+
+std::string Node::State::status() const
+{
+    const FollowStatus n = follower.status();
+    const FrontStatus f = front.status();
+    std::string out = "{\"instance\": ";
+    appendJsonString(out, options.instance);
+    out += ", \"leaving\": " + std::string(leaving ? "true" : "false");
+    out += ", \"storeAnswers\": " + std::string(n.storeAnswers ? "true" : "false");
+    out += ", \"heardAgeMs\": " + std::to_string(static_cast<int64_t>(toMilliseconds(clock.now() - n.heardAt)));
+    out += ", \"version\": " + std::to_string(n.version);
+    out += ", \"storeRevision\": " + std::to_string(n.revision);
+    out += ", \"targets\": " + std::to_string(n.targets);
+    out += ", \"connections\": " + std::to_string(f.connections);
+    out += ", \"callsInFlight\": " + std::to_string(f.callsInFlight) + "}\n";
+    return out;
+}
+
+/// Closes idle connections to targets now and then, until the node stops.
+void Node::State::tidy()
+{
+    LockGuard lock(stopMutex);
+    while (!stopped) {
+        const TimePoint next = clock.now() + TidyInterval;
+        while (!stopped && stopChanged.waitUntil(lock, next)) { }
+        sender.closeIdle();
+    }
+}
+
+/// Ends the process by itself where calls would hold it beyond the grace; their callers see a closed connection.
+void Node::State::limitStop(TimePoint latest)
+{
+    LockGuard lock(stopMutex);
+    while (!stopped && stopChanged.waitUntil(lock, latest)) { }
+    if (!stopped) {
+        logEvent(Severity::Warning, "stop-cut",
+                 {{"callsInFlight", static_cast<uint64_t>(front.status().callsInFlight)}});
+        _exit(0);
+    }
+}
+
+/// Lets whoever sends callers here see that the node is not ready, before its port closes.
+void Node::State::waitNotice(TimePoint until)
+{
+    RankedMutex alone{LockRank::Program};
+    Condition nobody(clock);
+    LockGuard lock(alone);
+    while (nobody.waitUntil(lock, until)) { }
+}
+
+Node::Node(Clock &clock, Metrics &metrics, const NodeOptions &options, NodeForm form)
+    : m_state(std::make_unique<State>(clock, metrics, options, std::move(form)))
+{
+}
+
+Node::~Node()
+{
+    stop();
+}
+
+Result<void> Node::start()
+{
+    State &state = *m_state;
+    const auto ready = [&state](const OperateRequest &) {
+        const auto n = state.readiness();
+        return n ? OperateResponse{200, "text/plain", "ready\n"} : operateError(503, n.error());
+    };
+    state.readyServer.route("GET", state.form.readyPath, ready, true);
+    addStandardRoutes(state.operate, state.metrics,
+                      {.ready = [&state] { return state.readiness(); },
+                       .status =
+                           [&state] {
+                               return state.status();
+                           }});
+    const auto started = state.readyServer.start().and_then([&] { return state.operate.start(); }).and_then([&] {
+        return state.front.start();
+    });
+    if (!started) {
+        return started;
+    }
+    state.follower.start();
+    state.tidier = Thread("node-tidy", [&state] { state.tidy(); });
+    logEvent(Severity::Info, "node-started",
+             {{"instance", state.options.instance},
+              {"dataCentre", state.options.balancer.dataCentre},
+              {"callerPort", static_cast<int>(state.front.port())},
+              {"operatorPort", static_cast<int>(state.operate.port())}});
+    return {};
+}
+
+void Node::stop()
+{
+    State &state = *m_state;
+    if (!state.tidier.running()) {
+        return;
+    }
+    const TimePoint asked = state.clock.now();
+    logEvent(Severity::Info, "node-leaving",
+             {{"callsInFlight", static_cast<uint64_t>(state.front.status().callsInFlight)}});
+    state.leaving = true;
+    state.front.leave();
+    const auto spare = std::chrono::duration_cast<Duration>(state.options.grace * LastShareOfGrace);
+    Thread limit("stop-limit", [&state, latest = asked + state.options.grace - spare] { state.limitStop(latest); });
+    state.waitNotice(asked + state.options.leaveNotice);
+    state.front.stop();
+    {
+        LockGuard lock(state.stopMutex);
+        state.stopped = true;
+        state.stopChanged.notifyAll();
+    }
+    limit.join();
+    state.follower.stop();
+    state.tidier.join();
+    state.readyServer.stop();
+    state.operate.stop();
+    logEvent(Severity::Info, "node-stopped", {{"tookMs", toMilliseconds(state.clock.now() - asked)}});
+}
+
+bool Node::ready() const
+{
+    return m_state->readiness().has_value();
+}
+
+uint16_t Node::callerPort() const
+{
+    return m_state->front.port();
+}
+
+uint16_t Node::readyPort() const
+{
+    return m_state->readyServer.port();
+}
+
+uint16_t Node::operatorPort() const
+{
+    return m_state->operate.port();
+}
+
+} // namespace damask
--- /dev/null
+++ b/src/programs/damask-node/node_options.cpp
@@ -0,0 +1,194 @@
+#include "programs/damask-node/node_options.h"
+
+#include "settings/address.h"
+
+#include <algorithm>
+#include <array>
+
+namespace damask {
+
+namespace {
+
+constexpr size_t DescriptorsForFiles = 200;  // of the process's limit, not for sockets
+constexpr size_t HeldShareOfMemory = 8;      // one part in so many of the memory limit may hold requests and answers
+constexpr double GatherShareOfBound = 0.25;  // of the time that a change has to be in force, between two polls
+constexpr double MassHoldShareOfDrain = 0.4; // of the time that a target may still get work after it left
+
+constexpr auto Specs = std::to_array<SettingSpec>({
+    {"instance", "name", SettingType::Text, "node", "Name of this instance, unique in the system."},
+    {"instance", "data-centre", SettingType::Text, "", "Data centre that it stands in, one of data-centres."},
+    {"instance", "data-centres", SettingType::List, "", "All data centres, each as NAME:REGION."},
+    {"instance", "memory", SettingType::Number, "256", "MB that the process may use.", 16, 1048576},
+    {"instance", "descriptors", SettingType::Number, "4096", "Files and sockets open at once.", 256, 10000000},
+    {"front", "endpoint", SettingType::Text, "127.0.0.1:8080", "IP number and port that callers reach."},
+    {"front", "workers", SettingType::Number, "192", "Calls served at once.", 2, 4096},
+    {"front", "send-timeout", SettingType::Interval, "10 s", "For a caller to send a request.", 100, 600000},
+    {"front", "take-timeout", SettingType::Interval, "10 s", "For a caller to take more of its answer.", 100, 600000},
+    {"targets", "connect-timeout", SettingType::Interval, "250 ms", "For a new connection to a target.", 1, 60000},
+    {"targets", "idle-limit", SettingType::Interval, "8 s", "Age at which an idle connection is closed.", 1, 600000},
+    {"targets", "fresh-limit", SettingType::Interval, "500 ms",
+     "Age of the last answer that proves a connection alive for a call that may run once only.", 0, 600000},
+    {"targets", "max-answer", SettingType::Size, "16 MB", "Body of an answer.", 1024, 1073741824},
+    {"route", "safety", SettingType::Interval, "2 ms", "Kept of a deadline for the way back.", 0, 60000},
+    {"route", "queue", SettingType::Number, "64", "Calls of a service that wait for a slot.", 0, 100000},
+    {"route", "queue-wait", SettingType::Interval, "100 ms", "For a slot, at most.", 0, 60000},
+    {"route", "queue-share", SettingType::Fraction, "0.25", "Of a call's latency objective, for a slot, at most.", 0,
+     1},
+    {"route", "why-events", SettingType::Number, "64", "Calls remembered for damaskctl why.", 0, 1000000},
+    {"route", "retry-ratio", SettingType::Fraction, "0.1", "Retries for each call of a service.", 0, 1},
+    {"route", "retry-window", SettingType::Interval, "10 s", "Every span of this length keeps to the ratio.", 100,
+     3600000},
+    {"route", "elsewhere-cost", SettingType::Interval, "10 ms",
+     "That a target in another data centre has to save, beside the way there.", 0, 60000},
+    {"route", "other-region-cost", SettingType::Interval, "60 ms",
+     "That a target in another region has to save, beside the way there.", 0, 60000},
+    {"route", "come-back-share", SettingType::Fraction, "0.1",
+     "Of its time left, after which a refused caller may come back.", 0, 1},
+    {"look", "at-once", SettingType::Number, "2", "Targets asked together before a call; 0: none.", 0, 16},
+    {"look", "rounds", SettingType::Number, "2", "Times that others are asked.", 1, 16},
+    {"look", "patience", SettingType::Interval, "40 ms", "For the answers of one round.", 1, 10000},
+    {"look", "fresh", SettingType::Interval, "30 ms", "Age of a report that needs no asking.", 0, 10000},
+    {"store", "endpoint", SettingType::Text, "127.0.0.1:2379", "IP number and port of the platform's store."},
+    {"store", "poll-wait", SettingType::Interval, "10 s", "For a change, in one call.", 100, 600000},
+    {"store", "call-timeout", SettingType::Interval, "2 s", "For a call.", 10, 600000},
+    {"store", "lapse-hold", SettingType::Interval, "2 s",
+     "After the store's return, for entries of targets that lapsed to come back.", 0, 600000},
+    {"bounds", "configuration", SettingType::Interval, "2 s", "For a change to be in force everywhere.", 100, 600000},
+    {"bounds", "drain", SettingType::Interval, "2 s", "That a leaving target may still get work.", 100, 600000},
+    {"ready", "endpoint", SettingType::Text, "127.0.0.1:7101", "IP number and port that readiness is asked at."},
+    {"operate", "endpoint", SettingType::Text, "127.0.0.1:9464", "IP number and port that operators reach."},
+    {"operate", "token", SettingType::Secret, "", "Asked for on closed pages; empty: none is asked for."},
+    {"stop", "notice", SettingType::Interval, "2500 ms",
+     "Between failing readiness and closing: two checks a second apart, and a half.", 0, 600000},
+    {"stop", "grace", SettingType::Interval, "6 s", "From the stop signal until the process is killed.", 100, 600000},
+});
+
+size_t countOf(const Settings &settings, std::string_view section, std::string_view key)
+{
+    return static_cast<size_t>(settings.number(section, key));
+}
+
+Duration shareOf(Duration whole, double share)
+{
+    return std::chrono::duration_cast<Duration>(whole * share);
+}
+
+Result<std::vector<DataCentre>> readDataCentres(const Settings &settings)
+{
+    std::vector<DataCentre> out;
+    for (const auto &it : settings.list("instance", "data-centres")) {
+        const size_t colon = it.find(':');
+        if (colon == 0 || colon == std::string::npos || colon + 1 == it.size()) {
+            return fail(Code::BadSettings, "[instance] data-centres: \"" + it + "\" is not NAME:REGION");
+        }
+        out.push_back({.name = it.substr(0, colon), .region = it.substr(colon + 1)});
+    }
+    std::sort(out.begin(), out.end(), [](const auto &left, const auto &right) { return left.name < right.name; });
+    return out;
+}
+
+FrontOptions readFront(const Settings &settings)
+{
+    FrontOptions out;
+    const size_t memory = countOf(settings, "instance", "memory") * 1024 * 1024;
+    out.maxHeldBytes = memory / HeldShareOfMemory;
+    out.maxConnections = (countOf(settings, "instance", "descriptors") - DescriptorsForFiles) / 2;
+    out.admission = {.workers = countOf(settings, "front", "workers"), .reservedEach = 0, .levels = 0};
+    out.sendTimeout = settings.interval("front", "send-timeout");
+    out.takeTimeout = settings.interval("front", "take-timeout");
+    out.retryAfter = std::chrono::milliseconds(100);
+    return out;
+}
+
+SenderOptions readSender(const Settings &settings)
+{
+    SenderOptions out;
+    out.connectTimeout = settings.interval("targets", "connect-timeout");
+    out.idleLimit = settings.interval("targets", "idle-limit");
+    out.freshLimit = settings.interval("targets", "fresh-limit");
+    out.maxAnswerBytes = settings.size("targets", "max-answer");
+    return out;
+}
+
+FollowerOptions readFollower(const Settings &settings)
+{
+    FollowerOptions out;
+    const Duration bound = std::min(settings.interval("bounds", "configuration"), settings.interval("bounds", "drain"));
+    out.gather = shareOf(bound, GatherShareOfBound);
+    out.pollWait = settings.interval("store", "poll-wait");
+    out.registry.lapseHold = settings.interval("store", "lapse-hold");
+    out.registry.massHold = shareOf(settings.interval("bounds", "drain"), MassHoldShareOfDrain);
+    return out;
+}
+
+/// Reads one endpoint into an address and a port.
+Result<void> readEndpoint(const Settings &settings, std::string_view section, std::string &address, uint16_t &port)
+{
+    const auto read = parseEndpoint(settings.text(section, "endpoint"));
+    if (!read) {
+        return fail(Code::BadSettings, "[" + std::string(section) + "] " + read.error().detail);
+    }
+    address = read->address;
+    port = read->port;
+    return {};
+}
+
+Result<void> readEndpoints(const Settings &settings, NodeOptions &out)
+{
+    return readEndpoint(settings, "front", out.front.address, out.front.port)
+        .and_then([&] { return readEndpoint(settings, "ready", out.readiness.address, out.readiness.port); })
+        .and_then([&] { return readEndpoint(settings, "operate", out.operate.address, out.operate.port); })
+        .and_then([&] { return readEndpoint(settings, "store", out.store.address, out.store.port); });
+}
+
+} // namespace
+
+std::span<const SettingSpec> nodeSpecs()
+{
+    return Specs;
+}
+
+Result<NodeOptions> readNodeOptions(const Settings &settings)
+{
+    NodeOptions out;
+    out.instance = settings.text("instance", "name");
+    out.front = readFront(settings);
+    out.sender = readSender(settings);
+    out.follower = readFollower(settings);
+    out.balancer.dataCentre = settings.text("instance", "data-centre");
+    out.balancer.elsewhereCost = settings.interval("route", "elsewhere-cost");
+    out.balancer.otherRegionCost = settings.interval("route", "other-region-cost");
+    out.look = {.atOnce = countOf(settings, "look", "at-once"),
+                .rounds = countOf(settings, "look", "rounds"),
+                .patience = settings.interval("look", "patience"),
+                .fresh = settings.interval("look", "fresh")};
+    out.dispatcher.safety = settings.interval("route", "safety");
+    out.dispatcher.whyEvents = countOf(settings, "route", "why-events");
+    out.dispatcher.comeBackShare = settings.fraction("route", "come-back-share");
+    out.retryRatio = settings.fraction("route", "retry-ratio");
+    out.retryWindow = settings.interval("route", "retry-window");
+    out.queueWait = settings.interval("route", "queue-wait");
+    out.balancer.queueShare = settings.fraction("route", "queue-share");
+    out.queueLimit = countOf(settings, "route", "queue");
+    out.store.callTimeout = settings.interval("store", "call-timeout");
+    out.operate.token = settings.secret("operate", "token");
+    out.readiness.threads = 1;
+    out.operate.threads = 1;
+    out.leaveNotice = settings.interval("stop", "notice");
+    out.grace = settings.interval("stop", "grace");
+    if (out.leaveNotice >= out.grace) {
+        return fail(Code::BadSettings, "[stop] notice must be shorter than grace, or calls have no time to end");
+    }
+    auto dataCentres = readDataCentres(settings);
+    if (!dataCentres) {
+        return tl::make_unexpected(dataCentres.error());
+    }
+    out.follower.dataCentres = std::move(*dataCentres);
+    const auto endpoints = readEndpoints(settings, out);
+    if (!endpoints) {
+        return tl::make_unexpected(endpoints.error());
+    }
+    return out;
+}
+
+} // namespace damask
--- a/src/route/balancer.cpp
+++ b/src/route/balancer.cpp
@@ -363,6 +363,16 @@
     }
 }
 
+std::vector<Prospect> Balancer::promising(const AcquireRequest &request, size_t most)
+{
+    const TablePointer shared = m_state->find(request.service);
+    if (!shared) {
+        return {};
+    }
+    LockGuard lock(shared->mutex);
+    return shared->table.promising(request, m_state->clock.now(), most);
+}
+
 std::vector<LoadNews> Balancer::ownNews() const
 {
     std::vector<LoadNews> news;
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -32,6 +32,8 @@
     std::string address;             // IP number
     uint16_t    port = 0;            // TCP
     int         connectionShare = 8; // connections this entry may hold to it
+    std::string instance;            // identity that it has to confirm; empty: not checked
+    std::string healthPath;          // where it can be asked how it is; empty: as the target form says
 };
 
 /// What an attempt needs.
@@ -44,6 +46,8 @@
     std::string_view             avoid = {};         // name of a target that failed this call before
     size_t                       bodyBytes = 0;      // for the budget across regions
     bool                         mayWait = true;     // false: refuse at once when no slot is free (hedges)
+    int                          rank = 0;           // 0 is the most urgent: it waits before all others
+    Duration                     objective{0};       // answers are wanted within it; 0: none
     CancelToken                 *cancel = nullptr;   // ends a wait early
 };
 
@@ -70,6 +74,17 @@
     LoadReport  report;          // what it says
     Duration    age{0};          // how old the report was when it came in
     bool        leaving = false; // the instance list or a peer says it is leaving
+    bool        silent = false;  // it was asked and gave no answer; report is not filled
+    bool        asked = false;   // it was asked by this entry, and so proved that it answers
+};
+
+/// A target that looks best for a call, by what is known.
+struct Prospect {
+    std::shared_ptr<const TargetAddress> address;
+    Duration                             reportAge{0};    // of its last report; Duration::max(): none yet
+    double                               expected = 0;    // ms until the answer
+    bool                                 good = false;    // has a free slot and works about as fast as usual
+    bool                                 onTrial = false; // ejected, and due to show that it is well
 };
 
 /// What is known of one target, for status pages and `damaskctl why`.
@@ -91,6 +106,10 @@
     Duration    reportHalfLife{0};                       // how fast a report loses weight; 0: in the usual answer time
     size_t      whyEvents = 4096;                        // decisions kept for `damaskctl why`
     Duration    waitStep = std::chrono::milliseconds(2); // a waiting call looks again at the aged estimates
+    Duration    slowdownHalfLife = std::chrono::milliseconds(250); // how fast a report of slow work loses weight
+    double      queueShare = 1;     // of a call's latency objective that it may wait for a slot
+    Duration    elsewhereCost{0};   // that a target in another data centre has to save, beside the way there
+    Duration    otherRegionCost{0}; // that a target in another region has to save, beside the way there
 };
 
 /// What varies: the policy and the random source.
@@ -116,6 +135,7 @@
     TimePoint      runWaits(std::string_view service); // grants and refuses what is due; when to call it next, or Never
     void           finish(const Permit &permit, const PermitReport &report); // exactly once for each permit
     void           absorb(std::span<const LoadNews> news);
+    std::vector<Prospect>     promising(const AcquireRequest &request, size_t most); // the best first; grants nothing
     std::vector<LoadNews>     ownNews() const; // what this entry knows, for its peers
     std::vector<TargetStatus> status(std::string_view service) const;
     int                       inFlight() const; // permits out now
--- a/src/route/dispatcher.cpp
+++ b/src/route/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "route/dispatcher_state.h"
 #include "route/rules.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace damask {
@@ -31,6 +32,12 @@
     out.ejected = status.ejected;
 }
 
+/// The call had a rule and a service, so a service that is gone by now is no reason to say that there is none.
+Code refusalOf(Code code)
+{
+    return code == Code::NoSuchService ? Code::NoTarget : code;
+}
+
 void logFailure(const WhyRecord &record)
 {
     logEvent(Severity::Warning, "call-failed",
@@ -97,7 +104,10 @@
     if (call.request.depth > service.maxDepth) {
         return Code::DepthExceeded;
     }
-    const Duration allowed = call.request.timeLeft.value_or(service.deadline);
+    Duration allowed = call.request.timeLeft.value_or(service.deadline);
+    if (call.route.rule->timeout > Duration::zero()) {
+        allowed = std::min(allowed, call.route.rule->timeout);
+    }
     call.record.allowed = toFloatMs(allowed);
     call.deadline = call.request.arrivedAt + allowed - options.safety;
     return clock.now() < call.deadline ? Code::Ok : Code::DeadlineTooShort;
@@ -114,12 +124,14 @@
                                            .idempotent = call.idempotent,
                                            .avoid = call.avoid,
                                            .bodyBytes = call.request.body.size(),
+                                           .rank = call.route.rule->rank,
+                                           .objective = call.route.rule->objective,
                                            .cancel = &cancel});
         if (!permit) {
-            return conclude(call, cancel.cancelled() ? Code::Cancelled : permit.error().code);
+            return conclude(call, cancel.cancelled() ? Code::Cancelled : refusalOf(permit.error().code));
         }
         AttemptResult last = attempt(call, *permit, cancel);
-        const RetryReason reason = retryReason(last);
+        const RetryReason reason = retryReason(last, call.route.rule->retryErrors);
         const RetryDenial denial = judge(call, last, cancel);
         WhyAttempt &kept = call.record.attempts[call.firstKept];
         kept.denial = denial;
@@ -174,6 +186,9 @@
                                          .cancelled = cancel.cancelled(),
                                          .depth = call.request.depth,
                                          .attempts = call.attempts,
+                                         .sent = call.sent - (last.end == AttemptEnd::NotSent ? 1 : 0),
+                                         .maxSent = call.route.rule->maxAttempts,
+                                         .retryErrors = call.route.rule->retryErrors,
                                          .timeLeft = call.deadline - now});
     if (out != RetryDenial::None) {
         return out;
@@ -181,6 +196,18 @@
     return call.route.state->budget.spend(now) ? RetryDenial::None : RetryDenial::Budget;
 }
 
+/// A share of the time that the caller has left, where that is known: later is of no use to it.
+void Dispatcher::State::sayWhenToComeBack(const CallState &call, Answer &answer) const
+{
+    if (answer.retryAfter == Duration::zero() || options.comeBackShare <= 0 || !call.request.timeLeft) {
+        return;
+    }
+    const Duration left = call.request.arrivedAt + *call.request.timeLeft - clock.now();
+    const Duration share =
+        std::chrono::duration_cast<Duration>(std::max(left, Duration::zero()) * options.comeBackShare);
+    answer.retryAfter = std::clamp(share, options.leastComeBack, answer.retryAfter);
+}
+
 void Dispatcher::State::keep(CallState &call, const Answer &answer)
 {
     const TimePoint now = clock.now();
@@ -223,10 +250,9 @@
 void Dispatcher::apply(std::shared_ptr<const Configuration> configuration)
 {
     State &s = *m_state;
-    const TimePoint now = s.clock.now();
     const auto previous = s.current();
     const auto states = previous ? previous->states() : RouteTable::States();
-    auto next = std::make_shared<const RouteTable>(std::move(configuration), states, now);
+    auto next = std::make_shared<const RouteTable>(std::move(configuration), states);
     LockGuard lock(s.configurationMutex);
     if (!s.table || s.table->revision() <= next->revision()) {
         s.table.swap(next);
@@ -238,6 +264,7 @@
     CallState call{.request = request};
     const Code code = m_state->admit(call);
     Answer out = code == Code::Ok ? m_state->run(call, cancel) : answerFor(code);
+    m_state->sayWhenToComeBack(call, out);
     m_state->counters.call(out);
     m_state->keep(call, out);
     return out;
--- a/src/route/dispatcher.h
+++ b/src/route/dispatcher.h
@@ -39,6 +39,8 @@
 struct DispatcherOptions {
     Duration safety = std::chrono::milliseconds(2); // kept of the deadline for the way back
     size_t   whyEvents = 4096;                      // calls kept for `damaskctl why`
+    double   comeBackShare = 0; // of its time left, after which a refused caller may come back; 0: after a second
+    Duration leastComeBack = std::chrono::milliseconds(10); // with comeBackShare
 };
 
 class Dispatcher
--- a/src/route/dispatcher_call.cpp
+++ b/src/route/dispatcher_call.cpp
@@ -59,6 +59,7 @@
     DAMASK_ASSERT(call.idempotent || call.unproven == 0,
                   "a non-idempotent call is sent again only after a proven not-run");
     ++call.attempts;
+    ++call.sent;
     ++call.unproven;
 }
 
@@ -66,6 +67,10 @@
 {
     switch (result.end) {
     case AttemptEnd::NotSent:
+        --call.sent;
+        --call.unproven;
+        call.notRun = result.code;
+        break;
     case AttemptEnd::Refused:
         --call.unproven;
         call.notRun = result.code;
--- a/src/route/dispatcher_call.h
+++ b/src/route/dispatcher_call.h
@@ -22,6 +22,7 @@
     bool                              idempotent = false;
     TimePoint                         deadline = Never;   // of attempts: the caller's, less the safety margin
     int                               attempts = 0;       // sent or tried
+    int                               sent = 0;           // attempts of which a byte left, or may have left
     int                               unproven = 0;       // attempts that ran, may have run or may be running
     Code                              notRun = Code::Ok;  // why the last attempt did not run
     Code                              unknown = Code::Ok; // why the last attempt that may have run gave no answer
--- a/src/route/dispatcher_state.h
+++ b/src/route/dispatcher_state.h
@@ -28,6 +28,7 @@
     AttemptResult attempt(CallState &call, const Permit &permit, CancelToken &cancel);
     AttemptResult send(const CallState &call, const Permit &permit, CancelToken &cancel);
     RetryDenial   judge(const CallState &call, const AttemptResult &last, const CancelToken &cancel);
+    void          sayWhenToComeBack(const CallState &call, Answer &answer) const;
     void          keep(CallState &call, const Answer &answer);
 
     // Hedges: the call's thread, then the thread beside (dispatcher_hedge.cpp)
--- a/src/route/dispatcher_table.cpp
+++ b/src/route/dispatcher_table.cpp
@@ -2,17 +2,28 @@
 
 #include "route/rules.h"
 
+#include "base/random.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace damask {
 
-RouteTable::RouteTable(std::shared_ptr<const Configuration> configuration, const States &previous, TimePoint now)
+namespace {
+
+constexpr uint64_t SplitStarts = 1024;             // calls by which entries start apart
+constexpr double GoldenShare = 0.6180339887498949; // its multiples spread evenly between 0 and 1
+
+} // namespace
+
+RouteTable::RouteTable(std::shared_ptr<const Configuration> configuration, const States &previous)
     : m_configuration(std::move(configuration))
+    , m_splitCalls(systemRandom()() % SplitStarts)
 {
     for (const Service &it : m_configuration->services) {
         const auto known = previous.find(it.name);
-        auto state = known != previous.end() ? known->second : std::make_shared<ServiceState>(it.retryRatio, now);
-        state->budget.setRatio(it.retryRatio);
+        auto state = known != previous.end() ? known->second : std::make_shared<ServiceState>(it);
+        state->budget.setOptions(ServiceState::budgetOf(it));
         m_states.emplace(it.name, std::move(state));
     }
 }
@@ -24,16 +35,37 @@
     if (out.rule == nullptr) {
         return out;
     }
-    const auto &services = m_configuration->services;
-    const auto it = std::find_if(services.begin(), services.end(),
-                                 [&out](const Service &n) { return n.name == out.rule->service; });
-    if (it != services.end()) {
-        out.service = &*it;
-        out.state = m_states.find(it->name)->second;
+    out.service = out.rule->split.empty() ? serviceNamed(out.rule->service) : choosePart(*out.rule);
+    if (out.service != nullptr) {
+        out.state = m_states.find(out.service->name)->second;
     }
     return out;
 }
 
+const Service *RouteTable::serviceNamed(std::string_view name) const
+{
+    const auto &services = m_configuration->services;
+    const auto it = std::find_if(services.begin(), services.end(), [name](const Service &n) { return n.name == name; });
+    return it == services.end() ? nullptr : &*it;
+}
+
+const Service *RouteTable::choosePart(const Rule &rule) const
+{
+    double whole = 0;
+    for (const ServiceShare &it : rule.split) {
+        whole += it.weight;
+    }
+    const auto call = static_cast<double>(m_splitCalls.fetch_add(1, std::memory_order_relaxed));
+    double at = std::fmod(call * GoldenShare, 1.0) * whole;
+    for (const ServiceShare &it : rule.split) {
+        if (at < it.weight) {
+            return serviceNamed(it.service);
+        }
+        at -= it.weight;
+    }
+    return serviceNamed(rule.split.back().service);
+}
+
 uint64_t RouteTable::revision() const
 {
     return m_configuration->revision;
--- a/src/route/dispatcher_table.h
+++ b/src/route/dispatcher_table.h
@@ -6,6 +6,7 @@
 #include "route/hedge.h"
 #include "route/retry.h"
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <string>
@@ -15,10 +16,14 @@
 
 /// What is counted for one service; it outlives a change of configuration.
 struct ServiceState {
-    ServiceState(double retryRatio, TimePoint now)
-        : budget(retryRatio, now)
+    explicit ServiceState(const Service &service)
+        : budget(budgetOf(service))
     {
     }
+    static RetryBudgetOptions budgetOf(const Service &service)
+    {
+        return {.ratio = service.retryRatio, .slack = service.retrySlack, .window = service.retryWindow};
+    }
 
     RetryBudget budget;
     HedgeDelay  delay;
@@ -37,15 +42,20 @@
 public:
     using States = std::map<std::string, std::shared_ptr<ServiceState>, std::less<>>;
 
-    RouteTable(std::shared_ptr<const Configuration> configuration, const States &previous, TimePoint now);
+    RouteTable(std::shared_ptr<const Configuration> configuration, const States &previous);
 
+    /// A rule that is split gives its services in turn, so that each part gets its share of any few calls.
     Route         find(std::string_view host, std::string_view path) const;
     uint64_t      revision() const;
     const States &states() const;
 
 private:
+    const Service *serviceNamed(std::string_view name) const;
+    const Service *choosePart(const Rule &rule) const;
+
     std::shared_ptr<const Configuration> m_configuration;
     States                               m_states;
+    mutable std::atomic<uint64_t>        m_splitCalls; // of rules that are split, from a random start
 };
 
 } // namespace damask
--- a/src/route/pick.h
+++ b/src/route/pick.h
@@ -28,6 +28,8 @@
     int      reported = -1;     // calls in flight as last reported, as it was; -1: never
     float    limit = 1;         // calls in flight of all entries at which it counts as full
     float    fleetTime = 1;     // ms, of answers of all targets of the service
+    float    slowdown = 1;      // times as long as usual that work takes there now, as far as reports tell
+    float    avoid = 1;         // times as long as expected that it counts for: silent, unwell, or leaving
     int      trueInFlight = -1; // for the oracle in benches only; -1: not known
     float    trueSpeed = 1;     // for the oracle in benches only
 };
@@ -42,6 +44,9 @@
 
 constexpr int NoPick = -1; // every target is full: wait or refuse
 
+/// Expected time in ms until the answer of a call sent now, as damaskPolicy() compares it.
+double expectedCompletion(const TargetView &view);
+
 /// Returns the position in views of the target to send to, or NoPick.
 using PickPolicy = std::function<int(std::span<const TargetView> views, const PickContext &context)>;
 
--- a/src/route/pick_damask.cpp
+++ b/src/route/pick_damask.cpp
@@ -41,17 +41,6 @@
     return std::max(1.0, static_cast<double>(view.slots) * static_cast<double>(view.warmth));
 }
 
-/// Expected time in ms until the answer of a call sent now.
-double expectedCompletion(const TargetView &view)
-{
-    const double slots = usableSlots(view);
-    const double time = usualTime(view);
-    const double queue = expectedQueue(view.estimate, slots) / slots;
-    const double overdue = std::max(0.0, view.oldestCall - view.linkDelay - StallTimes * time);
-    const double completion = time * (1 + queue) + view.linkDelay + StallWeight * overdue;
-    return completion / (1 - FailingWeight * static_cast<double>(view.failing));
-}
-
 bool isFull(const TargetView &view, bool hurry)
 {
     const double most = std::max(1.0, static_cast<double>(view.limit) * static_cast<double>(view.warmth));
@@ -99,6 +88,16 @@
 
 } // namespace
 
+double expectedCompletion(const TargetView &view)
+{
+    const double slots = usableSlots(view);
+    const double time = usualTime(view) * static_cast<double>(view.slowdown);
+    const double queue = expectedQueue(view.estimate, slots) / slots;
+    const double overdue = std::max(0.0, view.oldestCall - view.linkDelay - StallTimes * time);
+    const double completion = time * (1 + queue) + view.linkDelay + StallWeight * overdue;
+    return completion * static_cast<double>(view.avoid) / (1 - FailingWeight * static_cast<double>(view.failing));
+}
+
 PickPolicy damaskPolicy()
 {
     return pickDamask;
--- a/src/route/retry.cpp
+++ b/src/route/retry.cpp
@@ -4,9 +4,8 @@
 
 namespace {
 
-constexpr double TricklePerSecond = 0.5; // retries a quiet service earns without calls
-constexpr double Burst = 10;             // retries held at most
 constexpr int ServiceUnavailable = 503;
+constexpr int FirstServerError = 500; // HTTP status
 
 /// Whether the failure is proven to lie at this hop, so that nothing below it has run.
 bool provenNotRun(RetryReason reason)
@@ -29,6 +28,8 @@
         return "lost";
     case RetryReason::Unavailable:
         return "unavailable";
+    case RetryReason::Failed:
+        return "failed";
     }
     return "none";
 }
@@ -56,7 +57,7 @@
     return "none";
 }
 
-RetryReason retryReason(const AttemptResult &last)
+RetryReason retryReason(const AttemptResult &last, bool retryErrors)
 {
     switch (last.end) {
     case AttemptEnd::NotSent:
@@ -70,12 +71,15 @@
     }
     const bool says =
         last.answer.status == ServiceUnavailable && !headerValue(last.answer.headers, "Retry-After").empty();
-    return says ? RetryReason::Unavailable : RetryReason::None;
+    if (says) {
+        return RetryReason::Unavailable;
+    }
+    return retryErrors && last.answer.status >= FirstServerError ? RetryReason::Failed : RetryReason::None;
 }
 
 RetryDenial retryDenial(const RetryQuestion &question)
 {
-    const RetryReason reason = retryReason(question.last);
+    const RetryReason reason = retryReason(question.last, question.retryErrors);
     if (reason == RetryReason::None) {
         return RetryDenial::NotNeeded;
     }
@@ -88,41 +92,73 @@
     if (!provenNotRun(reason) && question.depth > 0) {
         return RetryDenial::Depth;
     }
-    if (question.attempts >= MaxAttempts) {
+    const bool limited = question.maxSent > 0;
+    const int mostSent = limited ? question.maxSent : MaxAttempts;
+    const int mostTried = limited ? question.maxSent + MaxUnsent : MaxAttempts;
+    if (question.sent >= mostSent || question.attempts >= mostTried) {
         return RetryDenial::Attempts;
     }
     return question.timeLeft < LeastRetryTime ? RetryDenial::Deadline : RetryDenial::None;
 }
 
-RetryBudget::RetryBudget(double ratio, TimePoint now)
-    : m_bucket({.perSecond = TricklePerSecond, .burst = Burst}, now)
-    , m_ratio(ratio)
+RetryBudget::RetryBudget(const RetryBudgetOptions &options)
+    : m_options(options)
 {
 }
 
-void RetryBudget::setRatio(double ratio)
+void RetryBudget::setOptions(const RetryBudgetOptions &options)
 {
     LockGuard lock(m_mutex);
-    m_ratio = ratio;
+    if (options.window != m_options.window) {
+        m_slots = {}; // their numbers count other spans
+    }
+    m_options = options;
+}
+
+RetryBudget::Slot &RetryBudget::slotAt(TimePoint now)
+{
+    const int64_t number = now.time_since_epoch() / (m_options.window / Slots);
+    Slot &slot = m_slots[static_cast<size_t>(number % (Slots + 1))];
+    if (slot.number != number) {
+        slot = {.number = number};
+    }
+    return slot;
+}
+
+/// Retries are counted over the window and a slot more, calls over the window less a part of a slot: so the bound
+/// holds wherever the window lies.
+double RetryBudget::room(TimePoint now)
+{
+    const int64_t newest = slotAt(now).number;
+    double calls = 0;
+    double retries = 0;
+    for (const Slot &it : m_slots) {
+        calls += it.number > newest - Slots && it.number >= 0 ? it.calls : 0;
+        retries += it.number >= newest - Slots && it.number >= 0 ? it.retries : 0;
+    }
+    return m_options.ratio <= 0 ? 0 : m_options.ratio * calls + m_options.slack - retries;
 }
 
 void RetryBudget::earn(TimePoint now)
 {
     LockGuard lock(m_mutex);
-    m_bucket.level(now);
-    m_bucket.add(m_ratio);
+    ++slotAt(now).calls;
 }
 
 bool RetryBudget::spend(TimePoint now)
 {
     LockGuard lock(m_mutex);
-    return m_ratio > 0 && m_bucket.take(1, now);
+    if (room(now) < 1) {
+        return false;
+    }
+    ++slotAt(now).retries;
+    return true;
 }
 
 double RetryBudget::level(TimePoint now)
 {
     LockGuard lock(m_mutex);
-    return m_bucket.level(now);
+    return room(now);
 }
 
 } // namespace damask
--- a/src/route/retry.h
+++ b/src/route/retry.h
@@ -4,9 +4,9 @@
 #pragma once
 
 #include "base/lock.h"
-#include "base/token_bucket.h"
 #include "call/message.h"
 
+#include <array>
 #include <cstdint>
 #include <string_view>
 
@@ -19,6 +19,7 @@
     Refused,     // the target said that it did not run it: proven not run
     Lost,        // it may have run: idempotent calls only
     Unavailable, // answered 503 with Retry-After: idempotent calls only
+    Failed,      // answered 5xx where the rule lets such calls go again: idempotent calls only
 };
 
 /// Why no other attempt follows.
@@ -41,36 +42,59 @@
     const AttemptResult &last; // the attempt that ended
     bool                 idempotent = false;
     bool                 cancelled = false;
-    int                  depth = 0;    // calls above this one
-    int                  attempts = 1; // made so far
-    Duration             timeLeft{0};  // until the call's deadline
+    int                  depth = 0;           // calls above this one
+    int                  attempts = 1;        // made so far
+    int                  sent = 1;            // of them those of which a byte left
+    int                  maxSent = 0;         // of the rule; 0: MaxAttempts
+    bool                 retryErrors = false; // of the rule
+    Duration             timeLeft{0};         // until the call's deadline
 };
 
-constexpr int      MaxAttempts = 3;                               // of one call, hedge included
+constexpr int      MaxAttempts = 3; // of one call, hedge included, where a rule says nothing
+constexpr int      MaxUnsent = 2;   // attempts besides of which no byte left, where a rule gives a limit
 constexpr Duration LeastRetryTime = std::chrono::milliseconds(2); // time left below which no attempt is made
 
 /// Why the attempt might be followed by another.
-RetryReason retryReason(const AttemptResult &last);
+RetryReason retryReason(const AttemptResult &last, bool retryErrors = false);
 
 /// What speaks against another attempt, apart from the budget.
 RetryDenial retryDenial(const RetryQuestion &question);
 
-/// Retries and hedges of one service in one entry: a share of its calls, and a trickle that keeps a quiet service able
-/// to retry. Safe from all threads.
+/// What a RetryBudget allows.
+struct RetryBudgetOptions {
+    double   ratio = 0.1;                       // retries for each call of the window; 0: none at all
+    double   slack = 10;                        // retries besides, so that a quiet service can retry
+    Duration window = std::chrono::seconds(10); // every span of this length keeps the bound
+};
+
+/// Retries and hedges of one service in one entry: in any span as long as the window at most a share of the calls of
+/// that span, and the slack. Entries that each keep to their own calls keep the share together, without a message.
+/// Safe from all threads.
 class RetryBudget
 {
 public:
-    RetryBudget(double ratio, TimePoint now);
+    explicit RetryBudget(const RetryBudgetOptions &options);
 
-    void   setRatio(double ratio); // retries for each call
-    void   earn(TimePoint now);    // once for each call
-    bool   spend(TimePoint now);   // once for each retry or hedge; false when spent
-    double level(TimePoint now);   // retries that could be made now
+    void   setOptions(const RetryBudgetOptions &options);
+    void   earn(TimePoint now);  // once for each call
+    bool   spend(TimePoint now); // once for each retry or hedge; false when spent
+    double level(TimePoint now); // retries that could be made now
 
 private:
-    RankedMutex m_mutex{LockRank::Route};
-    TokenBucket m_bucket;
-    double      m_ratio;
+    static constexpr int64_t Slots = 20; // parts of the window
+
+    struct Slot {
+        int64_t number = -1; // of the part of time that is counted here
+        int     calls = 0;
+        int     retries = 0;
+    };
+
+    Slot  &slotAt(TimePoint now);
+    double room(TimePoint now);
+
+    RankedMutex                 m_mutex{LockRank::Route};
+    RetryBudgetOptions          m_options;
+    std::array<Slot, Slots + 1> m_slots; // one more than the window, since the newest is not yet whole
 };
 
 } // namespace damask
--- a/src/route/service_learn.cpp
+++ b/src/route/service_learn.cpp
@@ -16,8 +16,10 @@
 constexpr double MostSlower = 2;     // times the usual answer time, as one answer counts for trust in reports
 constexpr double MostShare = 0.2;    // of one report in the usual load
 constexpr float FleetWeight = 0.02F; // of one report or answer in the fleet's average
-constexpr Duration LeavingHolds = std::chrono::seconds(60); // news of leaving, unless repeated
-constexpr int FirstServerError = 500;                       // HTTP status
+constexpr Duration LeavingHolds = std::chrono::seconds(60);      // news of leaving, unless repeated
+constexpr Duration SilentHolds = std::chrono::milliseconds(500); // after which a silent target may be asked again
+constexpr float SlowdownWeight = 0.02F;                          // of one report in the usual slowdown
+constexpr int FirstServerError = 500;                            // HTTP status
 
 /// Whether a target says that it has far more than it should: calls in flight must become fewer.
 bool overFull(const TargetEntry &entry, const PermitReport &report)
@@ -49,6 +51,11 @@
         m_heardAt = now;
     }
     const bool room = !report.load || report.load->inFlight < entry.target.slots;
+    if (report.code == Code::TargetReplaced) {
+        entry.leavingUntil = now + LeavingHolds; // until its registry names the process that is there now
+        entry.health.trialEnded();
+        return;
+    }
     switch (report.end) {
     case AttemptEnd::Answered:
         m_heardAt = now;
@@ -82,14 +89,14 @@
 {
     const Duration whole = now - permit.grantedAt;
     const Duration own = std::max(whole - entry.linkDelay, Duration(0));
-    const auto sample = static_cast<float>(toMilliseconds(own));
+    const auto sample = static_cast<float>(toMilliseconds(own)) / entry.load.lastSlowdown();
     if (entry.load.lastReport() >= 0 && m_fleetTime > 0) {
         const double slower = std::clamp(static_cast<double>(sample / m_fleetTime) - 1, -1.0, MostSlower);
         m_trust.learn(entry.load.others() - entry.load.meanOthers(), slower);
     }
     m_expected.answered(whole, now);
     m_fleetTime = m_fleetTime == 0 ? sample : m_fleetTime + FleetWeight * (sample - m_fleetTime);
-    entry.load.answered(own);
+    entry.load.answered(fromMilliseconds(sample));
     entry.load.succeeded(entry.target.slots);
     const bool wasOut = entry.health.ejected();
     entry.health.good(now);
@@ -116,6 +123,9 @@
     const bool first = entry.load.lastReport() < 0;
     const Duration since = first ? FirstReport : takenAt - entry.load.reportedAt();
     entry.load.reported(report, takenAt, m_usualOthers);
+    if (report.slowdown > 0) {
+        m_usualSlowdown += SlowdownWeight * (static_cast<float>(report.slowdown) - m_usualSlowdown);
+    }
     entry.reportsDrain = report.draining;
     const double share = toSeconds(since) / (toSeconds(UsualOver) * static_cast<double>(m_targets.size()));
     m_usualOthers += std::clamp(share, 0.0, MostShare) * (entry.load.others() - m_usualOthers);
@@ -138,6 +148,14 @@
     if (entry == nullptr) {
         return;
     }
+    if (news.silent) {
+        entry->silentUntil = now + SilentHolds;
+        learnFailure(*entry, now);
+        return;
+    }
+    if (news.asked) {
+        learnAsked(*entry, news, now);
+    }
     if (news.leaving) {
         entry->leavingUntil = std::max(entry->leavingUntil, now - news.age + LeavingHolds);
     }
@@ -147,6 +165,18 @@
     }
 }
 
+/// A target that answers when asked comes back from an ejection without any call at stake.
+void ServiceTable::learnAsked(TargetEntry &entry, const LoadNews &news, TimePoint now)
+{
+    entry.silentUntil = {};
+    entry.unwell = news.report.unwell;
+    if (news.report.unwell || entry.health.state(now) != TargetHealth::State::Trial) {
+        return;
+    }
+    entry.health.good(now);
+    m_ejected -= entry.health.ejected() ? 0 : 1;
+}
+
 void ServiceTable::appendNews(TimePoint now, std::vector<LoadNews> &news) const
 {
     for (const auto &it : m_targets) {
--- a/src/route/service_table.cpp
+++ b/src/route/service_table.cpp
@@ -15,6 +15,10 @@
 constexpr size_t RegionShare = 4;                                  // candidates from the rest of this region
 constexpr double HurryAfterTimes = 4;                              // usual answer times without any answer
 constexpr float HoldTimes = 1;                                     // usual answer times held for a better estimate
+constexpr float ColdSlowdown = 2;                                  // of a process that is cold after its start
+constexpr float GoodSlowdown = 1.5F;                               // below it a target works about as fast as usual
+constexpr float SilentTimes = 10;                                  // that a target counts for which gave no answer
+constexpr float UnwellTimes = 4;                                   // that a target counts for which is not well
 constexpr float LeastTime = 1;                                     // ms, taken for an answer while none is known
 constexpr Duration LeastHurry = std::chrono::milliseconds(5);      // without any answer before a call hurries
 
@@ -71,20 +75,27 @@
         m_targets.push_back(std::make_unique<TargetEntry>());
         entry = m_targets.back().get();
     }
-    const bool moved = entry->target.address != target.address || entry->target.port != target.port;
+    const bool moved = entry->target.address != target.address || entry->target.port != target.port
+                       || entry->target.startedAt != target.startedAt || entry->target.instance != target.instance;
     if (moved) {
+        m_ejected -= entry->health.ejected() ? 1 : 0;
         entry->load.forget();
         entry->health = TargetHealth();
         entry->reportsDrain = false;
         entry->leavingUntil = {};
+        entry->silentUntil = {};
+        entry->unwell = false;
+    }
+    if (fresh || moved) {
+        entry->coldUntil = now + target.coldLeft;
     }
     if (moved && m_revision > 0) {
         entry->health.warmUp(now);
     }
     entry->target = target;
     entry->configured = true;
-    entry->address = std::make_shared<const TargetAddress>(
-        TargetAddress{name, target.address, target.port, m_service.connectionShare});
+    entry->address = std::make_shared<const TargetAddress>(TargetAddress{
+        name, target.address, target.port, m_service.connectionShare, target.instance, m_service.healthPath});
     place(configuration, *entry);
 }
 
@@ -225,7 +236,7 @@
 {
     const Duration usual = fromMilliseconds(std::max(LeastTime, m_fleetTime));
     const Duration halfLife = m_options.reportHalfLife > Duration(0) ? m_options.reportHalfLife : usual;
-    return {halfLife, m_usualOthers, m_trust.trust()};
+    return {halfLife, m_usualOthers, m_trust.trust(), m_options.slowdownHalfLife, m_usualSlowdown};
 }
 
 bool ServiceTable::hurry(TimePoint now) const
@@ -305,7 +316,9 @@
     view.oldestCall = static_cast<float>(toMilliseconds(load.oldestCall(now)));
     view.typicalTime = load.typicalTime() > 0 ? load.typicalTime() : m_fleetTime;
     view.fleetTime = m_fleetTime;
-    view.linkDelay = static_cast<float>(toMilliseconds(entry.linkDelay));
+    view.linkDelay = static_cast<float>(toMilliseconds(entry.linkDelay + placeCost(entry)));
+    view.slowdown = load.slowdown(now, m_aging) * (now < entry.coldUntil ? ColdSlowdown : 1);
+    view.avoid = (now < entry.silentUntil ? SilentTimes : 1) * (entry.unwell ? UnwellTimes : 1);
     view.warmth = entry.health.warmth(now);
     view.failing = entry.health.failing();
     view.limit = load.limit(entry.target.slots);
@@ -315,6 +328,48 @@
     return view;
 }
 
+Duration ServiceTable::placeCost(const TargetEntry &entry) const
+{
+    if (entry.otherRegion) {
+        return m_options.otherRegionCost;
+    }
+    return entry.linkDelay > Duration(0) ? m_options.elsewhereCost : Duration(0);
+}
+
+std::vector<Prospect> ServiceTable::promising(const AcquireRequest &request, TimePoint now, size_t most)
+{
+    ++m_sequence;
+    m_regionOpen = m_regionBudget.allows(request.bodyBytes, now);
+    collect(request, now);
+    std::vector<Prospect> out;
+    for (const TargetView &it : m_views) {
+        const TargetEntry &entry = *m_targets[it.index];
+        const bool reported = entry.load.lastReport() >= 0;
+        const bool good = it.avoid <= 1 && it.slowdown < GoodSlowdown && it.estimate + 1 <= it.slots;
+        out.push_back({entry.address, reported ? now - entry.load.reportedAt() : Duration::max(),
+                       expectedCompletion(it), good, false});
+    }
+    const auto sooner = [](const Prospect &left, const Prospect &right) {
+        return left.expected < right.expected;
+    };
+    std::sort(out.begin(), out.end(), sooner);
+    out.resize(std::min(out.size(), most));
+    if (m_ejected > 0) {
+        appendTrial(request, now, out);
+    }
+    return out;
+}
+
+void ServiceTable::appendTrial(const AcquireRequest &request, TimePoint now, std::vector<Prospect> &out) const
+{
+    for (const auto &it : m_targets) {
+        if (it->health.state(now) == TargetHealth::State::Trial && allowed(*it, request, now)) {
+            out.push_back({it->address, Duration::max(), 0, false, true});
+            return;
+        }
+    }
+}
+
 Permit ServiceTable::grant(TargetEntry &target, const AcquireRequest &request, uint32_t caller, TimePoint now,
                            Duration waited)
 {
@@ -344,6 +399,16 @@
     return permit;
 }
 
+/// A call that waited for most of its objective would come too late anyway, and its caller does better elsewhere.
+Duration ServiceTable::queueWait(const AcquireRequest &request) const
+{
+    if (request.objective <= Duration(0)) {
+        return m_service.queueWait;
+    }
+    return std::min(m_service.queueWait,
+                    std::chrono::duration_cast<Duration>(request.objective * m_options.queueShare));
+}
+
 Code ServiceTable::wait(const AcquireRequest &request, uint64_t id, GrantHook granted, TimePoint now,
                         std::vector<Decided> &decided)
 {
@@ -356,8 +421,9 @@
     waiter.arrivedAt = now;
     waiter.idempotent = request.idempotent;
     waiter.bodyBytes = request.bodyBytes;
+    waiter.rank = request.rank;
     waiter.granted = std::move(granted);
-    waiter.giveUpAt = now + m_service.queueWait;
+    waiter.giveUpAt = now + queueWait(request);
     const TimePoint latest = request.deadline == Never ? Never : request.deadline - m_expected.least(now);
     if (latest < waiter.giveUpAt) {
         waiter.giveUpAt = latest;
--- a/src/route/service_table.h
+++ b/src/route/service_table.h
@@ -31,6 +31,9 @@
     bool                                 otherRegion = false;
     bool                                 reportsDrain = false; // its last report said so
     TimePoint                            leavingUntil{};       // news said that it leaves; repeated while it holds
+    TimePoint                            silentUntil{};        // it gave no answer when asked; not a first choice
+    TimePoint                            coldUntil{};          // its process is slow after its start
+    bool                                 unwell = false;       // it called itself not well when asked last
     bool                                 configured = true;    // false: gone, kept until its calls ended
     uint64_t                             seenBy = 0;           // the last choice that looked at it
 };
@@ -56,6 +59,7 @@
 
     Code   admit(const AcquireRequest &request, TimePoint now) const; // Ok, NoSuchService, DeadlineTooShort
     Choice choose(const AcquireRequest &request, TimePoint now, Duration waited);
+    std::vector<Prospect> promising(const AcquireRequest &request, TimePoint now, size_t most);
     Permit grant(TargetEntry &target, const AcquireRequest &request, uint32_t caller, TimePoint now, Duration waited);
     void   finish(const Permit &permit, const PermitReport &report, TimePoint now);
     void   absorb(const LoadNews &news, TimePoint now);
@@ -82,11 +86,15 @@
     void         addView(size_t index, const AcquireRequest &request, TimePoint now);
     void         remember(size_t index);
     TargetView   viewOf(const TargetEntry &entry, TimePoint now) const;
+    Duration     placeCost(const TargetEntry &entry) const;
+    void         appendTrial(const AcquireRequest &request, TimePoint now, std::vector<Prospect> &out) const;
+    Duration     queueWait(const AcquireRequest &request) const;
     TargetEntry *trialFor(const AcquireRequest &request, TimePoint now);
     bool         hurry(TimePoint now) const;
     ReportAging  aging() const;
     void         learn(TargetEntry &entry, const Permit &permit, const PermitReport &report, TimePoint now);
     void         learnAnswer(TargetEntry &entry, const Permit &permit, TimePoint now);
+    void         learnAsked(TargetEntry &entry, const LoadNews &news, TimePoint now);
     void         learnFailure(TargetEntry &entry, TimePoint now);
     void         learnReport(TargetEntry &entry, const LoadReport &report, TimePoint takenAt);
     TargetEntry *find(std::string_view name);
@@ -108,8 +116,9 @@
     ExpectedTime                              m_expected;
     ReportTrust                               m_trust;
     RegionBudget                              m_regionBudget;
-    double                                    m_usualOthers = 0; // others' calls on a target, smoothed over all
-    float                                     m_fleetTime = 0;   // ms, of answers, smoothed over all
+    double                                    m_usualOthers = 0;   // others' calls on a target, smoothed over all
+    float                                     m_usualSlowdown = 1; // as told, smoothed over all
+    float                                     m_fleetTime = 0;     // ms, of answers, smoothed over all
     uint64_t                                  m_sequence = 0;
     uint64_t                                  m_revision = 0; // of the configuration in force
     int                                       m_inFlight = 0;
--- a/src/route/target_load.cpp
+++ b/src/route/target_load.cpp
@@ -59,6 +59,7 @@
     const double share = first ? 0 : toSeconds(takenAt - m_reportedAt) / toSeconds(MeanOver);
     m_meanOthers += std::min(share, MostShare) * (m_others - m_meanOthers);
     m_lastReport = std::max(0, report.inFlight);
+    m_slowdown = report.slowdown > 0 ? static_cast<float>(report.slowdown) : m_slowdown;
     m_reportedAt = takenAt;
 }
 
@@ -85,6 +86,7 @@
     m_others = 0;
     m_meanOthers = 0;
     m_typicalTime = 0;
+    m_slowdown = 0;
     m_queueAllowed = 0;
 }
 
@@ -98,6 +100,16 @@
     return own + std::max(0.0, assumed + weight * (believed - assumed));
 }
 
+/// What was told last holds for a moment, then the target is as likely slow as any.
+float TargetLoad::slowdown(TimePoint now, const ReportAging &aging) const
+{
+    if (m_slowdown <= 0) {
+        return aging.usualSlowdown;
+    }
+    const double halves = toSeconds(std::max(now - m_reportedAt, Duration(0))) / toSeconds(aging.slowdownHalfLife);
+    return aging.usualSlowdown + static_cast<float>(decay(halves)) * (m_slowdown - aging.usualSlowdown);
+}
+
 double TargetLoad::meanOthers() const
 {
     return m_meanOthers;
--- a/src/route/target_load.h
+++ b/src/route/target_load.h
@@ -21,8 +21,10 @@
 /// How the reports of a service's targets lose weight.
 struct ReportAging {
     Duration halfLife = std::chrono::milliseconds(10);
-    double   usual = 0; // others' calls on a target of which nothing is known
-    double   trust = 1; // 0 to 1: weight of a fresh report
+    double   usual = 0;                                         // others' calls on a target of which nothing is known
+    double   trust = 1;                                         // 0 to 1: weight of a fresh report
+    Duration slowdownHalfLife = std::chrono::milliseconds(250); // of what a report tells of slow work
+    float    usualSlowdown = 1;                                 // of a target of which nothing is known
 };
 
 class TargetLoad
@@ -42,6 +44,7 @@
     double   others() const;                                          // of the last report: calls not ours
     double   meanOthers() const;                                      // of its reports, smoothed over about a second
     Duration oldestCall(TimePoint now) const;                         // 0 when none is in flight
+    float    slowdown(TimePoint now, const ReportAging &aging) const; // times as long as usual that work takes
     float    limit(int slots) const;                                  // 1 to slots and a small queue
 
     int inFlight() const
@@ -56,6 +59,10 @@
     {
         return m_reportedAt;
     }
+    float lastSlowdown() const // as last told, 1 where never
+    {
+        return m_slowdown > 0 ? m_slowdown : 1;
+    }
     float typicalTime() const // ms, 0: no answer yet
     {
         return m_typicalTime;
@@ -68,6 +75,7 @@
     double                    m_others = 0;
     double                    m_meanOthers = 0;
     float                     m_typicalTime = 0;
+    float                     m_slowdown = 0;     // of the last report that told; 0: none did
     float                     m_queueAllowed = 0; // calls beyond the slots; negative after refusals
 };
 
--- a/src/route/wait_queue.cpp
+++ b/src/route/wait_queue.cpp
@@ -15,6 +15,7 @@
     n.idempotent = idempotent;
     n.avoid = avoid;
     n.bodyBytes = bodyBytes;
+    n.rank = rank;
     return n;
 }
 
@@ -49,6 +50,13 @@
         m_waiters.push_back(std::move(waiter));
         return Code::Ok;
     }
+    const int last = leastUrgent();
+    if (last >= 0 && m_waiters[last].rank > waiter.rank) {
+        Waiter displaced = take(last);
+        decided.push_back({std::move(displaced.granted), fail(Code::QueueFull)});
+        m_waiters.push_back(std::move(waiter));
+        return Code::Ok;
+    }
     const int most = latestOfLargest();
     if (most < 0 || m_waiters[most].caller == waiter.caller) {
         return callers() > 1 ? Code::FairShareExceeded : Code::QueueFull;
@@ -118,6 +126,9 @@
     const auto before = [&](size_t left, size_t right) {
         const Waiter &a = m_waiters[left];
         const Waiter &b = m_waiters[right];
+        if (a.rank != b.rank) {
+            return a.rank < b.rank;
+        }
         const uint32_t aShare = shares.inFlight(a.caller);
         const uint32_t bShare = shares.inFlight(b.caller);
         return aShare != bShare ? aShare < bShare : a.giveUpAt < b.giveUpAt;
@@ -146,6 +157,17 @@
     return static_cast<size_t>(std::count(seen.begin(), seen.end(), true));
 }
 
+int WaitQueue::leastUrgent() const
+{
+    int last = -1;
+    for (size_t n = 0; n < m_waiters.size(); ++n) {
+        if (last < 0 || m_waiters[n].rank >= m_waiters[last].rank) {
+            last = static_cast<int>(n);
+        }
+    }
+    return last;
+}
+
 int WaitQueue::latestOfLargest() const
 {
     int best = -1;
--- a/src/route/wait_queue.h
+++ b/src/route/wait_queue.h
@@ -1,4 +1,5 @@
-/// Calls that wait in one entry for a slot of one service: bounded, in the order of deadlines, shared by callers.
+/// Calls that wait in one entry for a slot of one service: bounded, the more urgent first, then shared by callers and
+/// in the order of deadlines.
 ///
 /// Pure: the caller holds the lock of the service, passes the time and runs the hooks after unlocking.
 #pragma once
@@ -24,6 +25,7 @@
     Code                     atEnd = Code::QueueTimeout;
     TimePoint                arrivedAt;
     bool                     idempotent = false;
+    int                      rank = 0; // 0 is the most urgent
     size_t                   bodyBytes = 0;
     GrantHook                granted;
 
@@ -61,6 +63,7 @@
     size_t countOf(uint32_t caller) const;
     size_t callers() const;
     int    latestOfLargest() const;
+    int    leastUrgent() const; // the latest of them; -1 when empty
 
     size_t              m_limit;
     std::vector<Waiter> m_waiters;
--- a/src/settings/address.cpp
+++ b/src/settings/address.cpp
@@ -1,6 +1,7 @@
 #include "settings/address.h"
 
 #include <arpa/inet.h>
+#include <charconv>
 #include <string>
 
 namespace damask {
@@ -13,4 +14,21 @@
            && (inet_pton(AF_INET, number.c_str(), &buf) == 1 || inet_pton(AF_INET6, number.c_str(), &buf) == 1);
 }
 
+Result<Endpoint> parseEndpoint(std::string_view text)
+{
+    const size_t colon = text.rfind(':');
+    std::string_view address = text.substr(0, colon);
+    const std::string_view digits = colon == std::string_view::npos ? std::string_view() : text.substr(colon + 1);
+    if (address.starts_with('[') && address.ends_with(']')) {
+        address = address.substr(1, address.size() - 2);
+    }
+    uint16_t port = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (!isIpNumber(address) || ec != std::errc() || end != digits.data() + digits.size() || port == 0) {
+        return fail(Code::BadSettings,
+                    "endpoint \"" + std::string(text) + "\": needs an IP number, a colon and a port from 1 to 65535");
+    }
+    return Endpoint{std::string(address), port};
+}
+
 } // namespace damask
--- a/src/startup/program.cpp
+++ b/src/startup/program.cpp
@@ -47,6 +47,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
@@ -57,6 +58,35 @@
     return {std::nullopt, ExitSettings};
 }
 
+using Arguments = std::map<std::string, docopt::value>;
+
+/// The settings of the file and of the command line, checked.
+Result<Settings> readSettings(const Arguments &arguments, const ProgramOptions &options)
+{
+    std::string text;
+    const std::string path = optionText(arguments, "--settings");
+    if (!path.empty()) {
+        auto read = readFile(path);
+        if (!read) {
+            return tl::make_unexpected(read.error());
+        }
+        text = std::move(*read);
+    }
+    auto settings = Settings::load(text, path.empty() ? "defaults" : path, options.specs);
+    if (!settings) {
+        return settings;
+    }
+    const auto changed = changeSettings(arguments, *settings);
+    if (!changed) {
+        return tl::make_unexpected(changed.error());
+    }
+    const auto checked = options.check ? options.check(*settings) : Result<void>();
+    if (!checked) {
+        return tl::make_unexpected(checked.error());
+    }
+    return settings;
+}
+
 } // namespace
 
 ProgramStart startProgram(int argc, char **argv, const ProgramOptions &options)
@@ -76,27 +106,10 @@
         return {std::nullopt, ExitUsage};
     }
 
-    std::string text;
-    const std::string path = optionText(arguments, "--settings");
-    if (!path.empty()) {
-        auto read = readFile(path);
-        if (!read) {
-            return refuse(options, read.error());
-        }
-        text = std::move(*read);
-    }
-    auto settings = Settings::load(text, path.empty() ? "defaults" : path, options.specs);
+    auto settings = readSettings(arguments, options);
     if (!settings) {
         return refuse(options, settings.error());
     }
-    const auto changed = changeSettings(arguments, *settings);
-    if (!changed) {
-        return refuse(options, changed.error());
-    }
-    const auto checked = options.check ? options.check(*settings) : Result<void>();
-    if (!checked) {
-        return refuse(options, checked.error());
-    }
     if (optionFlag(arguments, "--print-settings")) {
         std::cout << settings->print();
         return {std::nullopt, ExitOk};
@@ -105,19 +118,28 @@
         std::cout << options.name << ": the settings are valid\n";
         return {std::nullopt, ExitOk};
     }
-    startLogging(options.name);
+    startLogging(options.name, options.logs);
     const sigset_t signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return {std::move(*settings), ExitOk};
 }
 
-void waitForStop()
+void waitForStop(const std::function<void()> &reload)
 {
     const sigset_t signals = stopSignals();
     int received = 0;
-    sigwait(&signals, &received);
+    while (sigwait(&signals, &received) == 0 && received == SIGHUP && reload) {
+        logEvent(Severity::Info, "reload-asked");
+        reload();
+    }
     logEvent(Severity::Info, "stop-asked", {{"signal", received}});
 }
 
+Result<Settings> reloadSettings(int argc, char **argv, const ProgramOptions &options)
+{
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    return readSettings(docopt::docopt_parse(std::string(options.usage), words, true, true), options);
+}
+
 } // namespace damask
--- a/src/startup/program.h
+++ b/src/startup/program.h
@@ -9,6 +9,7 @@
 /// --help; it may offer [--set=PAIR]... for section.key=value, which goes before the file.
 #pragma once
 
+#include "base/log.h"
 #include "settings/settings.h"
 
 #include <functional>
@@ -33,6 +34,7 @@
     std::span<const SettingSpec> specs; // table of settings
 
     std::function<Result<void>(const Settings &)> check = {}; // of settings against each other; may be empty
+    LogOutput                                     logs = LogOutput::StandardError;
 };
 
 struct ProgramStart {
@@ -44,7 +46,10 @@
 /// the stop signals in this thread and those it starts.
 ProgramStart startProgram(int argc, char **argv, const ProgramOptions &options);
 
-/// Waits for SIGTERM or SIGINT without spinning.
-void waitForStop();
+/// Waits for SIGTERM or SIGINT without spinning. With a reload hook, SIGHUP runs it; without, SIGHUP ends the process.
+void waitForStop(const std::function<void()> &reload = {});
+
+/// Reads the settings again that the command line named, as startProgram() did. The code and line of what is wrong.
+Result<Settings> reloadSettings(int argc, char **argv, const ProgramOptions &options);
 
 } // namespace damask
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -1,21 +1,27 @@
 #include "store/client.h"
 
+#include "base/check.h"
 #include "base/log.h"
-#include "store/base64.h"
 
 #include <algorithm>
 #include <atomic>
-#include <charconv>
 #include <httplib.h>
-#include <nlohmann/json.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace damask {
 
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr size_t MaxAnswerBytes = 8 * 1024 * 1024;
+constexpr int KeepAliveSeconds = 1;            // of silence before a keep-alive probe, and between two
+constexpr int KeepAliveProbes = 2;             // unanswered, after which the connection counts as gone
+constexpr unsigned UnacknowledgedLimit = 2000; // ms that sent bytes may stay unacknowledged
+constexpr int Done = 200;                      // HTTP status
+constexpr int FirstClientError = 400;          // HTTP statuses from here say that the call was understood and not done
+constexpr int TooManyRequests = 429;           // the store's rate is used up
+constexpr int FirstServerError = 500;
 
 /// What a lost answer means for the caller.
 enum class CallKind {
@@ -23,77 +29,33 @@
     Write, // it may have taken effect
 };
 
-/// The protocol writes 64-bit numbers as strings; fields at their default are left out.
-uint64_t numberOf(const Json &object, std::string_view field)
-{
-    const auto it = object.find(field);
-    if (it == object.end()) {
-        return 0;
-    }
-    if (it->is_number_unsigned()) {
-        return it->get<uint64_t>();
-    }
-    uint64_t number = 0;
-    if (it->is_string()) {
-        const auto &text = it->get_ref<const nlohmann::json::string_t &>();
-        std::from_chars(text.data(), text.data() + text.size(), number);
-    }
-    return number;
-}
-
-Result<std::string> bytesOf(const Json &object, std::string_view field)
-{
-    const auto it = object.find(field);
-    if (it == object.end()) {
-        return std::string();
-    }
-    if (!it->is_string()) {
-        return fail(Code::StoreBadValue, std::string(field) + ": must be a string");
-    }
-    return fromBase64(it->get_ref<const nlohmann::json::string_t &>());
-}
-
-Result<StoreEntry> entryOf(const Json &kv)
-{
-    if (!kv.is_object()) {
-        return fail(Code::StoreBadValue, "kv: must be an object");
-    }
-    auto key = bytesOf(kv, "key");
-    auto value = bytesOf(kv, "value");
-    if (!key || !value) {
-        return tl::make_unexpected(key ? value.error() : key.error());
-    }
-    return StoreEntry{std::move(*key), std::move(*value), numberOf(kv, "mod_revision")};
-}
-
-uint64_t revisionOf(const Json &answer)
+bool nothingSent(httplib::Error ec)
 {
-    const auto header = answer.find("header");
-    return header != answer.end() && header->is_object() ? numberOf(*header, "revision") : 0;
+    return ec == httplib::Error::Connection || ec == httplib::Error::ConnectionTimeout
+           || ec == httplib::Error::BindIPAddress;
 }
 
-Json compareVersion(std::string_view key, uint64_t version)
+/// A long poll is silent for long, so only the system can tell that its connection is gone.
+void watchOverConnection(int socket)
 {
-    return {{"key", toBase64(key)}, {"target", "MOD"}, {"result", "EQUAL"}, {"mod_revision", std::to_string(version)}};
+    const int on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &KeepAliveSeconds, sizeof KeepAliveSeconds);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &KeepAliveSeconds, sizeof KeepAliveSeconds);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes, sizeof KeepAliveProbes);
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedLimit, sizeof UnacknowledgedLimit);
 }
 
-/// The first key after all that start with the prefix.
-std::string endOf(std::string_view prefix)
+httplib::Request requestOf(const StoreCall &call)
 {
-    std::string end(prefix);
-    while (!end.empty() && end.back() == '\xff') {
-        end.pop_back();
-    }
-    if (!end.empty()) {
-        end.back() = static_cast<char>(end.back() + 1);
+    httplib::Request out;
+    out.method = call.method;
+    out.path = call.path;
+    if (!call.body.empty()) {
+        out.set_header("Content-Type", "application/json");
+        out.body = call.body;
     }
-    return end.empty() ? std::string(1, '\0') : end;
-}
-
-bool nothingSent(httplib::Error ec)
-{
-    return ec == httplib::Error::Connection || ec == httplib::Error::ConnectionTimeout
-           || ec == httplib::Error::BindIPAddress;
+    return out;
 }
 
 } // namespace
@@ -102,12 +64,14 @@
     Clock &clock;
     Metrics &metrics;
     StoreOptions options;
+    StoreForm form;
     std::atomic<bool> reachable{false};
 
-    State(Clock &clockIn, Metrics &metricsIn, const StoreOptions &optionsIn)
+    State(Clock &clockIn, Metrics &metricsIn, const StoreOptions &optionsIn, StoreForm formIn)
         : clock(clockIn)
         , metrics(metricsIn)
         , options(optionsIn)
+        , form(std::move(formIn))
     {
     }
 
@@ -120,6 +84,8 @@
         client.set_read_timeout(micro(silence));
         client.set_write_timeout(micro(options.callTimeout));
         client.set_tcp_nodelay(true);
+        client.set_url_encode(false);
+        client.set_socket_options([](socket_t it) { watchOverConnection(it); });
     }
 
     Error failure(CallKind kind, httplib::Error ec) const
@@ -128,103 +94,91 @@
         return {code, httplib::to_string(ec)};
     }
 
-    Result<std::string> exchange(httplib::Request &request, CallKind kind)
+    /// One exchange over a connection of its own. `silence` bounds each wait for bytes, and the whole with callTimeout.
+    Result<StoreReply> exchange(httplib::Request request, CallKind kind, Duration silence, CancelToken *cancel)
     {
         httplib::Client client(options.address, options.port);
-        prepare(client, options.callTimeout);
-        const TimePoint deadline = clock.now() + options.callTimeout + options.connectTimeout;
-        std::string body;
+        prepare(client, silence);
+        const TimePoint deadline = clock.now() + silence + options.connectTimeout;
+        StoreReply reply;
         request.content_receiver = [&](const char *data, size_t n, uint64_t, uint64_t) {
-            body.append(data, n);
-            return body.size() <= MaxAnswerBytes && clock.now() < deadline;
+            reply.body.append(data, n);
+            return reply.body.size() <= MaxAnswerBytes && clock.now() < deadline;
         };
+        const uint64_t watch = cancel == nullptr ? 0 : cancel->onCancel([&client] { client.stop(); });
         const httplib::Result result = client.send(request);
+        if (cancel != nullptr) {
+            cancel->forget(watch);
+            if (cancel->cancelled()) {
+                return fail(Code::Cancelled, "the call was ended here");
+            }
+        }
         if (!result) {
             return tl::make_unexpected(failure(kind, result.error()));
         }
-        if (result->status != 200) {
-            const Code code =
-                kind == CallKind::Write && result->status >= 500 ? Code::StoreUnknown : Code::StoreUnavailable;
-            return fail(code, "HTTP status " + std::to_string(result->status));
+        reply.status = result->status;
+        return reply;
+    }
+
+    /// A reply that the form has to read: the call was done, or was understood and refused.
+    Result<StoreReply> judged(StoreReply reply, CallKind kind) const
+    {
+        const bool understood =
+            reply.status >= FirstClientError && reply.status < FirstServerError && reply.status != TooManyRequests;
+        if (reply.status == Done || understood) {
+            return reply;
         }
-        return body;
+        const Code code =
+            kind == CallKind::Write && reply.status >= FirstServerError ? Code::StoreUnknown : Code::StoreUnavailable;
+        return fail(code, "HTTP status " + std::to_string(reply.status));
     }
 
     /// One call, counted by its kind and outcome.
-    Result<Json> call(std::string_view name, std::string_view path, const Json &body, CallKind kind)
+    template<class Read>
+    auto call(std::string_view name, const StoreCall &call, CallKind kind, const Read &read,
+              Duration wait = Duration::zero(), CancelToken *cancel = nullptr) -> decltype(read(StoreReply()))
     {
-        httplib::Request request;
-        request.method = "POST";
-        request.path = path;
-        request.set_header("Content-Type", "application/json");
-        request.body = body.dump();
-        auto text = exchange(request, kind);
-        Result<Json> answer =
-            text ? Result<Json>(Json::parse(*text, nullptr, false)) : tl::make_unexpected(text.error());
-        if (answer && !answer->is_object()) {
-            const Code code = kind == CallKind::Write ? Code::StoreUnknown : Code::StoreBadValue;
-            answer = fail(code, "the answer is not JSON");
+        auto reply = exchange(requestOf(call), kind, options.callTimeout + wait, cancel).and_then([&](StoreReply it) {
+            return judged(std::move(it), kind);
+        });
+        if (!reply) {
+            note(name, reply.error().code);
+            return tl::make_unexpected(reply.error());
         }
-        note(name, answer ? Code::Ok : answer.error().code);
-        return answer;
+        auto out = read(*reply);
+        const bool unreadableWrite = !out && kind == CallKind::Write && out.error().code == Code::StoreBadValue;
+        if (unreadableWrite) {
+            out = tl::make_unexpected(Error{Code::StoreUnknown, out.error().detail});
+        }
+        note(name, out ? Code::Ok : out.error().code);
+        return out;
     }
 
     void note(std::string_view name, Code code)
     {
-        reachable = code == Code::Ok || code == Code::StoreBadValue;
+        const bool answered = code != Code::StoreUnavailable && code != Code::StoreUnknown && code != Code::Cancelled;
+        reachable = answered || (code == Code::Cancelled && reachable);
         metrics.count("damask_store_calls_total", {{"call", name}, {"code", codeName(code)}});
     }
 
     /// Reads one line of a watch's answer; false ends the watch.
     bool readWatchLine(std::string_view line, const StoreWatch &watch, Result<void> &outcome)
     {
-        const Json message = Json::parse(line, nullptr, false);
-        const auto result = message.is_object() ? message.find("result") : message.end();
-        if (!message.is_object() || result == message.end() || !result->is_object()) {
-            outcome = fail(Code::StoreBadValue, "the watch sent what is not a result");
+        const Result<size_t> bad = form.watched(line, watch);
+        if (!bad) {
+            outcome = tl::make_unexpected(bad.error());
             return false;
         }
         reachable = true;
-        if (watch.alive) {
-            watch.alive();
-        }
-        if (result->value("canceled", false)) {
-            outcome = fail(Code::NotFound, "the watch's revision is compacted");
-            return false;
-        }
-        const auto events = result->find("events");
-        if (events == result->end() || !events->is_array()) {
-            return true;
-        }
-        for (const Json &it : *events) {
-            if (!readEvent(it, revisionOf(*result), watch)) {
-                metrics.count("damask_store_bad_values_total");
-            }
-        }
-        return true;
-    }
-
-    static bool readEvent(const Json &event, uint64_t revision, const StoreWatch &watch)
-    {
-        if (!event.is_object() || !event.contains("kv")) {
-            return false;
-        }
-        auto entry = entryOf(event["kv"]);
-        if (!entry) {
-            return false;
-        }
-        const auto type = event.find("type");
-        if (type != event.end() && *type == "DELETE") {
-            watch.changed({std::nullopt, revision});
-        } else {
-            watch.changed({std::move(*entry), revision});
+        for (size_t n = 0; n < *bad; ++n) {
+            metrics.count("damask_store_bad_values_total");
         }
         return true;
     }
 };
 
-StoreClient::StoreClient(Clock &clock, Metrics &metrics, const StoreOptions &options)
-    : m_state(std::make_unique<State>(clock, metrics, options))
+StoreClient::StoreClient(Clock &clock, Metrics &metrics, const StoreOptions &options, StoreForm form)
+    : m_state(std::make_unique<State>(clock, metrics, options, std::move(form)))
 {
 }
 
@@ -232,137 +186,92 @@
 
 Result<StoreEntry> StoreClient::get(std::string_view key)
 {
-    const auto answer = m_state->call("range", "/v3/kv/range", {{"key", toBase64(key)}}, CallKind::Read);
-    if (!answer) {
-        return tl::make_unexpected(answer.error());
-    }
-    const auto kvs = answer->find("kvs");
-    if (kvs == answer->end() || !kvs->is_array() || kvs->empty()) {
-        return fail(Code::NotFound, key);
-    }
-    return entryOf(kvs->front());
+    State &s = *m_state;
+    return s.call("get", s.form.get(key), CallKind::Read, [&](const StoreReply &it) { return s.form.got(key, it); });
 }
 
 Result<StoreRead> StoreClient::list(std::string_view prefix)
 {
-    const Json body{{"key", toBase64(prefix)}, {"range_end", toBase64(endOf(prefix))}};
-    const auto answer = m_state->call("range", "/v3/kv/range", body, CallKind::Read);
-    if (!answer) {
-        return tl::make_unexpected(answer.error());
-    }
-    StoreRead out{{}, revisionOf(*answer)};
-    const auto kvs = answer->find("kvs");
-    if (kvs == answer->end() || !kvs->is_array()) {
-        return out;
-    }
-    for (const Json &it : *kvs) {
-        auto entry = entryOf(it);
-        if (!entry) {
-            return tl::make_unexpected(entry.error());
+    State &s = *m_state;
+    StoreRead out;
+    std::string after;
+    do {
+        auto page = s.call("list", s.form.list(prefix, after), CallKind::Read, s.form.listed);
+        if (!page) {
+            return page;
         }
-        out.entries.push_back(std::move(*entry));
-    }
+        // Pages are no snapshot: changes go on from the first one's revision, which no page is older than.
+        out.revision = after.empty() ? page->revision : out.revision;
+        std::move(page->entries.begin(), page->entries.end(), std::back_inserter(out.entries));
+        after = std::move(page->next);
+    } while (!after.empty());
     return out;
 }
 
+Result<StoreChanges> StoreClient::poll(std::string_view prefix, uint64_t after, Duration wait, CancelToken &cancel)
+{
+    State &s = *m_state;
+    DAMASK_ASSERT(s.form.poll, "poll only with a form that has a long poll; watch() is the other kind");
+    return s.call("poll", s.form.poll(prefix, after, wait), CallKind::Read, s.form.polled, wait, &cancel);
+}
+
 Result<uint64_t> StoreClient::swap(const StoreSwap &change)
 {
-    if (change.value.size() > m_state->options.maxValueBytes) {
-        m_state->note("txn", Code::StoreTooLarge);
+    State &s = *m_state;
+    if (change.value.size() > s.options.maxValueBytes) {
+        s.note("txn", Code::StoreTooLarge);
         return fail(Code::StoreTooLarge, std::to_string(change.value.size()) + " bytes");
     }
-    Json put{{"key", toBase64(change.key)}, {"value", toBase64(change.value)}};
-    if (change.lease != 0) {
-        put["lease"] = std::to_string(change.lease);
-    }
-    Json body{{"compare", Json::array({compareVersion(change.key, change.version)})},
-              {"success", Json::array({Json{{"request_put", std::move(put)}}})}};
-    if (change.fence) {
-        body["compare"].push_back(compareVersion(change.fence->key, change.fence->version));
-    }
-    const auto answer = m_state->call("txn", "/v3/kv/txn", body, CallKind::Write);
-    if (!answer) {
-        return tl::make_unexpected(answer.error());
-    }
-    const auto succeeded = answer->find("succeeded");
-    if (succeeded == answer->end() || *succeeded != true) {
-        m_state->metrics.countCode("damask_store_refusals_total", Code::StoreConflict);
-        return fail(Code::StoreConflict, change.key);
+    const auto read = [&](const StoreReply &it) {
+        return s.form.swapped(change, it);
+    };
+    auto out = s.call("txn", s.form.swap(change), CallKind::Write, read);
+    if (!out && out.error().code == Code::StoreConflict) {
+        s.metrics.countCode("damask_store_refusals_total", Code::StoreConflict);
     }
-    return revisionOf(*answer);
+    return out;
 }
 
 Result<uint64_t> StoreClient::put(std::string_view key, std::string_view value, uint64_t lease)
 {
-    if (value.size() > m_state->options.maxValueBytes) {
+    State &s = *m_state;
+    if (value.size() > s.options.maxValueBytes) {
         return fail(Code::StoreTooLarge, std::to_string(value.size()) + " bytes");
     }
-    Json body{{"key", toBase64(key)}, {"value", toBase64(value)}};
-    if (lease != 0) {
-        body["lease"] = std::to_string(lease);
-    }
-    const auto answer = m_state->call("put", "/v3/kv/put", body, CallKind::Write);
-    if (!answer) {
-        return tl::make_unexpected(answer.error());
-    }
-    return revisionOf(*answer);
+    return s.call("put", s.form.put(key, value, lease), CallKind::Write, s.form.written);
 }
 
 Result<void> StoreClient::remove(std::string_view key)
 {
-    const auto answer = m_state->call("delete", "/v3/kv/deleterange", {{"key", toBase64(key)}}, CallKind::Write);
-    return answer ? Result<void>() : tl::make_unexpected(answer.error());
+    State &s = *m_state;
+    return s.call("delete", s.form.remove(key), CallKind::Write, s.form.written).map([](uint64_t) {});
 }
 
 Result<uint64_t> StoreClient::grantLease(Duration timeToLive)
 {
-    const auto seconds = std::chrono::ceil<std::chrono::seconds>(timeToLive).count();
-    const auto answer =
-        m_state->call("lease-grant", "/v3/lease/grant", {{"TTL", std::to_string(seconds)}}, CallKind::Write);
-    if (!answer) {
-        return tl::make_unexpected(answer.error());
-    }
-    const uint64_t lease = numberOf(*answer, "ID");
-    return lease == 0 ? Result<uint64_t>(fail(Code::StoreBadValue, "the lease has no id")) : Result<uint64_t>(lease);
+    State &s = *m_state;
+    return s.call("lease-grant", s.form.grantLease(timeToLive), CallKind::Write, s.form.granted);
 }
 
 Result<Duration> StoreClient::keepLease(uint64_t lease)
 {
-    const auto answer =
-        m_state->call("lease-keepalive", "/v3/lease/keepalive", {{"ID", std::to_string(lease)}}, CallKind::Write);
-    if (!answer) {
-        return tl::make_unexpected(answer.error());
-    }
-    const auto result = answer->find("result");
-    const uint64_t seconds = result != answer->end() && result->is_object() ? numberOf(*result, "TTL") : 0;
-    if (seconds == 0) {
-        return fail(Code::LeaseLapsed, "the store no longer knows the lease");
-    }
-    return std::chrono::seconds(seconds);
+    State &s = *m_state;
+    return s.call("lease-keepalive", s.form.keepLease(lease), CallKind::Write, s.form.kept);
 }
 
 Result<void> StoreClient::revokeLease(uint64_t lease)
 {
-    const auto answer =
-        m_state->call("lease-revoke", "/v3/lease/revoke", {{"ID", std::to_string(lease)}}, CallKind::Write);
-    return answer ? Result<void>() : tl::make_unexpected(answer.error());
+    State &s = *m_state;
+    return s.call("lease-revoke", s.form.revokeLease(lease), CallKind::Write, s.form.written).map([](uint64_t) {});
 }
 
 Result<void> StoreClient::watch(const StoreWatch &watch, CancelToken &cancel)
 {
     httplib::Client client(m_state->options.address, m_state->options.port);
     m_state->prepare(client, m_state->options.watchSilence);
-    Json create{{"key", toBase64(watch.key)}, {"progress_notify", true}};
-    if (watch.fromRevision != 0) {
-        create["start_revision"] = std::to_string(watch.fromRevision);
-    }
     Result<void> outcome = fail(Code::StoreUnavailable, "the watch ended");
     std::string pending;
-    httplib::Request request;
-    request.method = "POST";
-    request.path = "/v3/watch";
-    request.set_header("Content-Type", "application/json");
-    request.body = Json{{"create_request", std::move(create)}}.dump();
+    httplib::Request request = requestOf(m_state->form.watch(watch));
     request.content_receiver = [&](const char *data, size_t n, uint64_t, uint64_t) {
         pending.append(data, n);
         for (size_t end = pending.find('\n'); end != std::string::npos; end = pending.find('\n')) {
@@ -388,13 +297,11 @@
 
 Result<std::string> StoreClient::fetch(std::string_view path)
 {
-    httplib::Request request;
-    request.method = "GET";
-    request.path = path;
-    auto text = m_state->exchange(request, CallKind::Read);
-    m_state->metrics.count("damask_store_calls_total",
-                           {{"call", "instances"}, {"code", codeName(text ? Code::Ok : text.error().code)}});
-    return text;
+    const auto read = [](StoreReply it) {
+        return it.status == Done ? Result<std::string>(std::move(it.body))
+                                 : fail(Code::StoreUnavailable, "HTTP status " + std::to_string(it.status));
+    };
+    return m_state->call("instances", {"GET", std::string(path)}, CallKind::Read, read);
 }
 
 bool StoreClient::reachable() const
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -1,4 +1,4 @@
-/// Client of the platform's key-value service, over the HTTP form of the etcd v3 protocol.
+/// Client of the platform's key-value service. The form of its calls is a hook; by default that of etcd v3 over HTTP.
 ///
 /// Use:
 ///     StoreClient store(clock, metrics, {.address = "10.0.0.2", .port = 2379});
@@ -12,6 +12,7 @@
 #include "base/metrics.h"
 #include "base/result.h"
 #include "call/cancel.h"
+#include "store/form.h"
 
 #include <cstdint>
 #include <functional>
@@ -32,57 +33,21 @@
     size_t      maxValueBytes = 1000 * 1000;              // of one value
 };
 
-struct StoreEntry {
-    std::string key;
-    std::string value;
-    uint64_t    version = 0; // revision of the store that wrote it
-};
-
-/// What a read gave: the entries and the store's revision they are true at.
-struct StoreRead {
-    std::vector<StoreEntry> entries;
-    uint64_t                revision = 0;
-};
-
-/// A key that must still stand as it was for a write to take effect: the proof of a lease.
-struct StoreFence {
-    std::string key;
-    uint64_t    version = 0;
-};
-
-struct StoreSwap {
-    std::string               key;
-    std::string               value;
-    uint64_t                  version = 0; // expected; 0: the key must not exist
-    uint64_t                  lease = 0;   // 0: none
-    std::optional<StoreFence> fence;       // also expected
-};
-
-/// One change seen by a watch; no entry: the key was deleted.
-struct StoreEvent {
-    std::optional<StoreEntry> entry;
-    uint64_t                  revision = 0;
-};
-
-struct StoreWatch {
-    std::string                             key;
-    uint64_t                                fromRevision = 0; // first one wanted; 0: from now on
-    std::function<void(const StoreEvent &)> changed;          // on the thread that watches
-    std::function<void()>                   alive;            // the store said something; may be empty
-};
-
 /// Safe from all threads.
 class StoreClient
 {
 public:
-    StoreClient(Clock &clock, Metrics &metrics, const StoreOptions &options);
+    StoreClient(Clock &clock, Metrics &metrics, const StoreOptions &options, StoreForm form = etcdForm());
     ~StoreClient();
 
     Result<StoreEntry> get(std::string_view key);     // NotFound, StoreUnavailable, StoreBadValue
     Result<StoreRead>  list(std::string_view prefix); // StoreUnavailable, StoreBadValue
-    Result<uint64_t>   swap(const StoreSwap &change); // the new version; StoreConflict, StoreUnknown, StoreTooLarge
-    Result<uint64_t>   put(std::string_view key, std::string_view value, uint64_t lease = 0); // the new version
-    Result<void>       remove(std::string_view key);
+    /// The changes of keys with the prefix after a revision; waits for the first one. The token ends the wait with
+    /// Cancelled. StoreHistoryGone when the store no longer knows them: read all anew.
+    Result<StoreChanges> poll(std::string_view prefix, uint64_t after, Duration wait, CancelToken &cancel);
+    Result<uint64_t>     swap(const StoreSwap &change); // the new version; StoreConflict, StoreUnknown, StoreTooLarge
+    Result<uint64_t>     put(std::string_view key, std::string_view value, uint64_t lease = 0); // the new version
+    Result<void>         remove(std::string_view key);
 
     Result<uint64_t> grantLease(Duration timeToLive); // its id
     Result<Duration> keepLease(uint64_t lease);       // time to live from now; LeaseLapsed
--- /dev/null
+++ b/src/store/etcd_form.cpp
@@ -0,0 +1,281 @@
+#include "store/form.h"
+
+#include "store/base64.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace damask {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int Done = 200; // HTTP status
+
+/// The reply as an object; StoreBadValue when it is none.
+Result<Json> objectOf(const StoreReply &reply)
+{
+    if (reply.status != Done) {
+        return fail(Code::StoreUnavailable, "HTTP status " + std::to_string(reply.status));
+    }
+    Json out = Json::parse(reply.body, nullptr, false);
+    return out.is_object() ? Result<Json>(std::move(out)) : fail(Code::StoreBadValue, "the answer is not JSON");
+}
+
+StoreCall post(std::string_view path, const Json &body)
+{
+    return {"POST", std::string(path), body.dump()};
+}
+
+/// The protocol writes 64-bit numbers as strings; fields at their default are left out.
+uint64_t numberOf(const Json &object, std::string_view field)
+{
+    const auto it = object.find(field);
+    if (it == object.end()) {
+        return 0;
+    }
+    if (it->is_number_unsigned()) {
+        return it->get<uint64_t>();
+    }
+    uint64_t number = 0;
+    if (it->is_string()) {
+        const auto &text = it->get_ref<const nlohmann::json::string_t &>();
+        std::from_chars(text.data(), text.data() + text.size(), number);
+    }
+    return number;
+}
+
+Result<std::string> bytesOf(const Json &object, std::string_view field)
+{
+    const auto it = object.find(field);
+    if (it == object.end()) {
+        return std::string();
+    }
+    if (!it->is_string()) {
+        return fail(Code::StoreBadValue, std::string(field) + ": must be a string");
+    }
+    return fromBase64(it->get_ref<const nlohmann::json::string_t &>());
+}
+
+Result<StoreEntry> entryOf(const Json &kv)
+{
+    if (!kv.is_object()) {
+        return fail(Code::StoreBadValue, "kv: must be an object");
+    }
+    auto key = bytesOf(kv, "key");
+    auto value = bytesOf(kv, "value");
+    if (!key || !value) {
+        return tl::make_unexpected(key ? value.error() : key.error());
+    }
+    return StoreEntry{std::move(*key), std::move(*value), numberOf(kv, "mod_revision")};
+}
+
+uint64_t revisionOf(const Json &answer)
+{
+    const auto header = answer.find("header");
+    return header != answer.end() && header->is_object() ? numberOf(*header, "revision") : 0;
+}
+
+Json compareVersion(std::string_view key, uint64_t version)
+{
+    return {{"key", toBase64(key)}, {"target", "MOD"}, {"result", "EQUAL"}, {"mod_revision", std::to_string(version)}};
+}
+
+/// The first key after all that start with the prefix.
+std::string endOf(std::string_view prefix)
+{
+    std::string end(prefix);
+    while (!end.empty() && end.back() == '\xff') {
+        end.pop_back();
+    }
+    if (!end.empty()) {
+        end.back() = static_cast<char>(end.back() + 1);
+    }
+    return end.empty() ? std::string(1, '\0') : end;
+}
+
+Result<StoreEntry> readGot(std::string_view key, const StoreReply &reply)
+{
+    const auto answer = objectOf(reply);
+    if (!answer) {
+        return tl::make_unexpected(answer.error());
+    }
+    const auto kvs = answer->find("kvs");
+    if (kvs == answer->end() || !kvs->is_array() || kvs->empty()) {
+        return fail(Code::NotFound, key);
+    }
+    return entryOf(kvs->front());
+}
+
+Result<StoreRead> readListed(const StoreReply &reply)
+{
+    const auto answer = objectOf(reply);
+    if (!answer) {
+        return tl::make_unexpected(answer.error());
+    }
+    StoreRead out{{}, revisionOf(*answer)};
+    const auto kvs = answer->find("kvs");
+    if (kvs == answer->end() || !kvs->is_array()) {
+        return out;
+    }
+    for (const Json &it : *kvs) {
+        auto entry = entryOf(it);
+        if (!entry) {
+            return tl::make_unexpected(entry.error());
+        }
+        out.entries.push_back(std::move(*entry));
+    }
+    return out;
+}
+
+StoreCall swapCall(const StoreSwap &change)
+{
+    Json put{{"key", toBase64(change.key)}, {"value", toBase64(change.value)}};
+    if (change.lease != 0) {
+        put["lease"] = std::to_string(change.lease);
+    }
+    Json body{{"compare", Json::array({compareVersion(change.key, change.version)})},
+              {"success", Json::array({Json{{"request_put", std::move(put)}}})}};
+    if (change.fence) {
+        body["compare"].push_back(compareVersion(change.fence->key, change.fence->version));
+    }
+    return post("/v3/kv/txn", body);
+}
+
+Result<uint64_t> readSwapped(const StoreSwap &change, const StoreReply &reply)
+{
+    const auto answer = objectOf(reply);
+    if (!answer) {
+        return tl::make_unexpected(answer.error());
+    }
+    const auto succeeded = answer->find("succeeded");
+    if (succeeded == answer->end() || *succeeded != true) {
+        return fail(Code::StoreConflict, change.key);
+    }
+    return revisionOf(*answer);
+}
+
+StoreCall putCall(std::string_view key, std::string_view value, uint64_t lease)
+{
+    Json body{{"key", toBase64(key)}, {"value", toBase64(value)}};
+    if (lease != 0) {
+        body["lease"] = std::to_string(lease);
+    }
+    return post("/v3/kv/put", body);
+}
+
+Result<uint64_t> readGranted(const StoreReply &reply)
+{
+    const auto answer = objectOf(reply);
+    if (!answer) {
+        return tl::make_unexpected(answer.error());
+    }
+    const uint64_t lease = numberOf(*answer, "ID");
+    return lease == 0 ? Result<uint64_t>(fail(Code::StoreBadValue, "the lease has no id")) : Result<uint64_t>(lease);
+}
+
+Result<Duration> readKept(const StoreReply &reply)
+{
+    const auto answer = objectOf(reply);
+    if (!answer) {
+        return tl::make_unexpected(answer.error());
+    }
+    const auto result = answer->find("result");
+    const uint64_t seconds = result != answer->end() && result->is_object() ? numberOf(*result, "TTL") : 0;
+    if (seconds == 0) {
+        return fail(Code::LeaseLapsed, "the store no longer knows the lease");
+    }
+    return std::chrono::seconds(seconds);
+}
+
+StoreCall watchCall(const StoreWatch &watch)
+{
+    Json create{{"key", toBase64(watch.key)}, {"progress_notify", true}};
+    if (watch.fromRevision != 0) {
+        create["start_revision"] = std::to_string(watch.fromRevision);
+    }
+    return post("/v3/watch", Json{{"create_request", std::move(create)}});
+}
+
+bool readEvent(const Json &event, uint64_t revision, const StoreWatch &watch)
+{
+    if (!event.is_object() || !event.contains("kv")) {
+        return false;
+    }
+    auto entry = entryOf(event["kv"]);
+    if (!entry) {
+        return false;
+    }
+    const auto type = event.find("type");
+    if (type != event.end() && *type == "DELETE") {
+        watch.changed({std::nullopt, revision});
+    } else {
+        watch.changed({std::move(*entry), revision});
+    }
+    return true;
+}
+
+Result<size_t> readWatched(std::string_view line, const StoreWatch &watch)
+{
+    const Json message = Json::parse(line, nullptr, false);
+    const auto result = message.is_object() ? message.find("result") : message.end();
+    if (!message.is_object() || result == message.end() || !result->is_object()) {
+        return fail(Code::StoreBadValue, "the watch sent what is not a result");
+    }
+    if (watch.alive) {
+        watch.alive();
+    }
+    if (result->value("canceled", false)) {
+        return fail(Code::NotFound, "the watch's revision is compacted");
+    }
+    const auto events = result->find("events");
+    size_t bad = 0;
+    if (events != result->end() && events->is_array()) {
+        for (const Json &it : *events) {
+            bad += readEvent(it, revisionOf(*result), watch) ? 0 : 1;
+        }
+    }
+    return bad;
+}
+
+} // namespace
+
+StoreForm etcdForm()
+{
+    StoreForm out;
+    out.get = [](std::string_view key) {
+        return post("/v3/kv/range", {{"key", toBase64(key)}});
+    };
+    out.got = readGot;
+    out.list = [](std::string_view prefix, std::string_view) {
+        return post("/v3/kv/range", {{"key", toBase64(prefix)}, {"range_end", toBase64(endOf(prefix))}});
+    };
+    out.listed = readListed;
+    out.swap = swapCall;
+    out.swapped = readSwapped;
+    out.put = putCall;
+    out.remove = [](std::string_view key) {
+        return post("/v3/kv/deleterange", {{"key", toBase64(key)}});
+    };
+    out.written = [](const StoreReply &reply) {
+        return objectOf(reply).map(revisionOf);
+    };
+    out.grantLease = [](Duration timeToLive) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(timeToLive).count();
+        return post("/v3/lease/grant", {{"TTL", std::to_string(seconds)}});
+    };
+    out.granted = readGranted;
+    out.keepLease = [](uint64_t lease) {
+        return post("/v3/lease/keepalive", {{"ID", std::to_string(lease)}});
+    };
+    out.kept = readKept;
+    out.revokeLease = [](uint64_t lease) {
+        return post("/v3/lease/revoke", {{"ID", std::to_string(lease)}});
+    };
+    out.watch = watchCall;
+    out.watched = readWatched;
+    return out;
+}
+
+} // namespace damask
