Poll the store in short waits, and only ask while it is away

Ruled out: a configuration refused or older (the log has none), a stale read (version 9 is not yet read at all).

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -24,7 +24,8 @@
     void storeFailed(std::string_view call, const Error &error);
     void storeAnswered();
     bool pauseUntil(TimePoint until);
-    Duration waitForPoll() const;
+    Duration waitForPoll();
+    bool storeAnswering();
 
     Clock &clock;
     Metrics &metrics;
@@ -131,9 +132,13 @@
     return true;
 }
 
-/// Held entries have to end in time, also when nothing changes.
-Duration Follower::State::waitForPoll() const
+/// Held entries have to end in time, also when nothing changes. While the store is away, a call only asks whether it is
+/// back: one that waits would stay unanswered beyond its return.
+Duration Follower::State::waitForPoll()
 {
+    if (!storeAnswering()) {
+        return Duration::zero();
+    }
     const TimePoint expiry = registry.nextExpiry();
     if (expiry == Never) {
         return options.pollWait;
@@ -141,6 +146,12 @@
     return std::clamp(expiry - clock.now(), Duration(std::chrono::milliseconds(1)), options.pollWait);
 }
 
+bool Follower::State::storeAnswering()
+{
+    LockGuard lock(mutex);
+    return status.storeAnswers;
+}
+
 bool Follower::State::pollOnce()
 {
     auto changes = store.poll(options.watchedPrefix, revision, waitForPoll(), cancel);
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -27,7 +27,7 @@
     std::string     targetPrefix;                            // targets stand under it, each under its id
     std::string     watchedPrefix;                           // of both; changes of other keys are passed over
     Duration        gather = std::chrono::milliseconds(500); // from an answer to the next poll: each call is paid for
-    Duration        pollWait = std::chrono::seconds(10);     // for a change
+    Duration        pollWait = std::chrono::seconds(3);      // for a change; a watch that was lost is noticed no sooner
     BackoffOptions  backoff = {std::chrono::milliseconds(100), std::chrono::seconds(1)}; // while the store is away
     RegistryOptions registry;
     std::vector<DataCentre> dataCentres; // all there are, with their regions
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -9,10 +9,11 @@
 
 namespace {
 
-constexpr size_t DescriptorsForFiles = 200;  // of the process's limit, not for sockets
-constexpr size_t HeldShareOfMemory = 8;      // one part in so many of the memory limit may hold requests and answers
-constexpr double GatherShareOfBound = 0.25;  // of the time that a change has to be in force, between two polls
-constexpr double MassHoldShareOfDrain = 0.4; // of the time that a target may still get work after it left
+constexpr size_t DescriptorsForFiles = 200;   // of the process's limit, not for sockets
+constexpr size_t HeldShareOfMemory = 8;       // one part in so many of the memory limit may hold requests and answers
+constexpr double GatherShareOfBound = 0.25;   // of the time that a change has to be in force, between two polls
+constexpr double PollWaitShareOfBound = 1.75; // of that time, for a change: a watch that was lost is noticed no sooner
+constexpr double MassHoldShareOfDrain = 0.4;  // of the time that a target may still get work after it left
 
 constexpr auto Specs = std::to_array<SettingSpec>({
     {"instance", "name", SettingType::Text, "node", "Name of this instance, unique in the system."},
@@ -49,8 +50,9 @@
     {"look", "patience", SettingType::Interval, "40 ms", "For the answers of one round.", 1, 10000},
     {"look", "fresh", SettingType::Interval, "30 ms", "Age of a report that needs no asking.", 0, 10000},
     {"store", "endpoint", SettingType::Text, "127.0.0.1:2379", "IP number and port of the platform's store."},
-    {"store", "poll-wait", SettingType::Interval, "10 s", "For a change, in one call.", 100, 600000},
-    {"store", "call-timeout", SettingType::Interval, "2 s", "For a call.", 10, 600000},
+    {"store", "connect-timeout", SettingType::Interval, "500 ms", "For a connection.", 10, 600000},
+    {"store", "call-timeout", SettingType::Interval, "1 s", "For a call, beside what it waits for a change.", 10,
+     600000},
     {"store", "lapse-hold", SettingType::Interval, "2 s",
      "After the store's return, for entries of targets that lapsed to come back.", 0, 600000},
     {"bounds", "configuration", SettingType::Interval, "2 s", "For a change to be in force everywhere.", 100, 600000},
@@ -115,7 +117,7 @@
     FollowerOptions out;
     const Duration bound = std::min(settings.interval("bounds", "configuration"), settings.interval("bounds", "drain"));
     out.gather = shareOf(bound, GatherShareOfBound);
-    out.pollWait = settings.interval("store", "poll-wait");
+    out.pollWait = shareOf(bound, PollWaitShareOfBound);
     out.registry.lapseHold = settings.interval("store", "lapse-hold");
     out.registry.massHold = shareOf(settings.interval("bounds", "drain"), MassHoldShareOfDrain);
     return out;
@@ -170,6 +172,7 @@
     out.queueWait = settings.interval("route", "queue-wait");
     out.balancer.queueShare = settings.fraction("route", "queue-share");
     out.queueLimit = countOf(settings, "route", "queue");
+    out.store.connectTimeout = settings.interval("store", "connect-timeout");
     out.store.callTimeout = settings.interval("store", "call-timeout");
     out.operate.token = settings.secret("operate", "token");
     out.readiness.threads = 1;
--- a/src/settings/address.cpp
+++ b/src/settings/address.cpp
@@ -14,7 +14,7 @@
            && (inet_pton(AF_INET, number.c_str(), &buf) == 1 || inet_pton(AF_INET6, number.c_str(), &buf) == 1);
 }
 
-Result<Endpoint> parseEndpoint(std::string_view text)
+Result<IpEndpoint> parseEndpoint(std::string_view text)
 {
     const size_t colon = text.rfind(':');
     std::string_view address = text.substr(0, colon);
@@ -28,7 +28,7 @@
         return fail(Code::BadSettings,
                     "endpoint \"" + std::string(text) + "\": needs an IP number, a colon and a port from 1 to 65535");
     }
-    return Endpoint{std::string(address), port};
+    return IpEndpoint{std::string(address), port};
 }
 
 } // namespace damask
