Let limits come back after refusals that were not for want of room

Each refusal took 30% of the entry's limit for the worker, and 72 s of answers would have given it back, so calls were refused as QueueTimeout until the process restarted. Ruled out: ejection (a third at most) and the retry budget, which recover.

--- a/src/route/service_learn.cpp
+++ b/src/route/service_learn.cpp
@@ -9,10 +9,11 @@
 
 namespace {
 
-constexpr size_t LeastShareIn = 3;                              // at most one target in so many is ejected
-constexpr float OverFullTimes = 1.5F;                           // the limit of calls in flight
-constexpr Duration UsualOver = std::chrono::milliseconds(500);  // time over which the usual load is averaged
-constexpr Duration FirstReport = std::chrono::milliseconds(50); // time that a target's first report counts for
+constexpr size_t LeastShareIn = 3;                               // at most one target in so many is ejected
+constexpr float OverFullTimes = 1.5F;                            // the limit of calls in flight
+constexpr Duration UsualOver = std::chrono::milliseconds(500);   // time over which the usual load is averaged
+constexpr Duration FreshReport = std::chrono::milliseconds(100); // age of a report that tells why a target refuses
+constexpr Duration FirstReport = std::chrono::milliseconds(50);  // time that a target's first report counts for
 constexpr double MostSlower = 2;     // times the usual answer time, as one answer counts for trust in reports
 constexpr double MostShare = 0.2;    // of one report in the usual load
 constexpr float FleetWeight = 0.02F; // of one report or answer in the fleet's average
@@ -28,6 +29,16 @@
     return report.load && static_cast<float>(report.load->inFlight) > most;
 }
 
+/// Whether the target told a moment ago that it has a free slot: then it refuses for another reason than want of room.
+bool saysRoom(const TargetEntry &entry, const PermitReport &report, TimePoint now)
+{
+    if (report.load) {
+        return report.load->inFlight < entry.target.slots;
+    }
+    const bool fresh = entry.load.lastReport() >= 0 && now - entry.load.reportedAt() < FreshReport;
+    return fresh && entry.load.lastReport() < entry.target.slots;
+}
+
 } // namespace
 
 void ServiceTable::finish(const Permit &permit, const PermitReport &report, TimePoint now)
@@ -67,7 +78,9 @@
         }
         break;
     case AttemptEnd::Refused:
-        entry.load.refused(entry.target.slots);
+        if (!saysRoom(entry, report, now)) {
+            entry.load.refused(entry.target.slots);
+        }
         if (room && !entry.reportsDrain) {
             learnFailure(entry, now);
         } else {
--- a/src/route/service_table.cpp
+++ b/src/route/service_table.cpp
@@ -22,6 +22,12 @@
 constexpr float LeastTime = 1;                                     // ms, taken for an answer while none is known
 constexpr Duration LeastHurry = std::chrono::milliseconds(5);      // without any answer before a call hurries
 
+/// Whether a call sent now is likely to be worked on at once, and about as fast as usual.
+bool isGood(const TargetView &view)
+{
+    return view.avoid <= 1 && view.slowdown < GoodSlowdown && view.estimate + 1 <= view.slots;
+}
+
 uint64_t nextPermit()
 {
     static std::atomic<uint64_t> next{1};
@@ -345,9 +351,8 @@
     for (const TargetView &it : m_views) {
         const TargetEntry &entry = *m_targets[it.index];
         const bool reported = entry.load.lastReport() >= 0;
-        const bool good = it.avoid <= 1 && it.slowdown < GoodSlowdown && it.estimate + 1 <= it.slots;
         out.push_back({entry.address, reported ? now - entry.load.reportedAt() : Duration::max(),
-                       expectedCompletion(it), good, false});
+                       expectedCompletion(it), isGood(it), false});
     }
     const auto sooner = [](const Prospect &left, const Prospect &right) {
         return left.expected < right.expected;
--- a/src/route/target_load.cpp
+++ b/src/route/target_load.cpp
@@ -16,6 +16,7 @@
 constexpr double OwnTellsOfOthers = 0.2; // share by which each own call that waits there raises the usual load
 constexpr float QueueOfSlots = 0.5F;     // calls queued at a target at most, in shares of its slots
 constexpr float RaiseOnSuccess = 0.05F;  // calls by which one answer raises the limit
+constexpr float ComeBackShare = 0.25F;   // of the slots that refusals took away, by which one answer raises the limit
 constexpr float LowerOnRefusal = 0.3F;   // share of the limit that one refusal takes away
 
 /// About 2^-halves, without a call of the math library; exact at 0 and falling.
@@ -77,7 +78,9 @@
 
 void TargetLoad::succeeded(int slots)
 {
-    m_queueAllowed = std::min(m_queueAllowed + RaiseOnSuccess, QueueOfSlots * static_cast<float>(slots));
+    const float missing = std::max(0.0F, -m_queueAllowed); // of its slots, after refusals
+    m_queueAllowed =
+        std::min(m_queueAllowed + RaiseOnSuccess + ComeBackShare * missing, QueueOfSlots * static_cast<float>(slots));
 }
 
 void TargetLoad::forget()
--- /dev/null
+++ b/tests/route/test_balancer_reports.cpp
@@ -0,0 +1,116 @@
+// What fresh reports change: slow, full, replaced and recovered targets.
+#include "fakes/fleet.h"
+
+#include <criterion/criterion.h>
+
+using namespace damask;
+using namespace damask::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+LoadNews told(std::string_view target, int inFlight, double slowdown = 1)
+{
+    LoadNews out;
+    out.target = target;
+    out.report = {.inFlight = inFlight, .slots = 6, .slowdown = slowdown};
+    out.asked = true;
+    return out;
+}
+
+void refuse(PausedBalancer &fixture, const Permit &permit, Code code = Code::TargetRefused)
+{
+    fixture.balancer.finish(permit, {.end = AttemptEnd::Refused, .code = code});
+}
+
+} // namespace
+
+Test(reports, refusals_of_a_target_with_room_do_not_make_it_count_as_full)
+{
+    PausedBalancer fixture(fleetOf(1, 6));
+    const auto held = fixture.tryAcquire();
+    for (int n = 0; n < 20; ++n) {
+        const LoadNews news = told("pages/t0", 1);
+        fixture.balancer.absorb({&news, 1});
+        const auto permit = fixture.tryAcquire();
+        cr_assert(permit.has_value(), "after %d refusals", n);
+        refuse(fixture, *permit);
+        fixture.clock.advance(1ms);
+    }
+}
+
+Test(reports, a_target_that_works_slowly_now_is_passed_over)
+{
+    PausedBalancer fixture(fleetOf(2, 6));
+    const LoadNews slow = told("pages/t0", 0, 7);
+    const LoadNews fast = told("pages/t1", 3, 1);
+    fixture.balancer.absorb({&slow, 1});
+    fixture.balancer.absorb({&fast, 1});
+    const auto prospects = fixture.balancer.promising({.service = "listings"}, 4);
+    cr_assert(prospects.size() == 2 && prospects[0].address->name == "pages/t1");
+    cr_assert(prospects[0].good && !prospects[1].good);
+    const auto permit = fixture.tryAcquire();
+    cr_assert(permit->address->name == "pages/t1");
+}
+
+Test(reports, a_replaced_target_gets_nothing_until_its_registry_names_the_new_process)
+{
+    Configuration configuration = fleetOf(1, 6);
+    configuration.pools[0].targets[0].instance = "i-1";
+    PausedBalancer fixture(configuration);
+    const auto permit = fixture.tryAcquire();
+    refuse(fixture, *permit, Code::TargetReplaced);
+    cr_assert(fixture.tryAcquire().error().code == Code::NoTarget);
+    configuration.revision = 2;
+    configuration.pools[0].targets[0].startedAt = 99;
+    fixture.apply(configuration);
+    cr_assert(fixture.tryAcquire().has_value());
+}
+
+Test(reports, an_ejected_target_comes_back_when_it_answers_questions)
+{
+    PausedBalancer fixture(fleetOf(4, 6));
+    const auto ejected = [&] {
+        for (const TargetStatus &it : fixture.balancer.status("listings")) {
+            if (it.ejected) {
+                return it.name;
+            }
+        }
+        return std::string();
+    };
+    LoadNews silent;
+    silent.target = "pages/t0";
+    silent.silent = true;
+    for (int n = 0; n < 5; ++n) {
+        fixture.balancer.absorb({&silent, 1});
+    }
+    cr_assert(ejected() == "pages/t0");
+    fixture.clock.advance(600ms);
+    for (int n = 0; n < 3; ++n) {
+        const auto prospects = fixture.balancer.promising({.service = "listings"}, 2);
+        cr_assert(prospects.back().onTrial && prospects.back().address->name == "pages/t0");
+        const LoadNews well = told("pages/t0", 0);
+        fixture.balancer.absorb({&well, 1});
+    }
+    cr_assert(ejected().empty(), "no call was put at stake");
+}
+
+Test(reports, the_more_urgent_call_gets_the_slot_and_the_last_place_in_the_queue)
+{
+    Configuration configuration = fleetOf(1, 1);
+    configuration.services[0].queueLimit = 2;
+    PausedBalancer fixture(configuration);
+    const auto held = fixture.tryAcquire();
+    std::string ends;
+    const auto wait = [&](const char *name, int rank) {
+        fixture.balancer.acquireLater({.service = "listings", .rank = rank}, [&ends, name](Result<Permit> result) {
+            ends += std::string(name) + (result ? ":granted " : ":refused ");
+        });
+    };
+    wait("low", 2);
+    wait("lower", 3);
+    wait("urgent", 0);
+    cr_assert(ends == "lower:refused ");
+    fixture.answer(*held, 0);
+    cr_assert(ends == "lower:refused urgent:granted ");
+}
