Count retries after an error answer, which crashed the process, and log each notable call

Cause: the counter of retries for the new reason was never made, so the first retry after a 5xx answer of an idempotent call read a null pointer.

Each call that failed, was late or was tried again now writes a line with what its choice rested on; of others one in 64.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -80,6 +80,8 @@
 {
     if (const auto *text = std::get_if<std::string_view>(&value)) {
         appendJsonString(out, *text);
+    } else if (const auto *json = std::get_if<LogField::Json>(&value)) {
+        out += json->text;
     } else if (const auto *flag = std::get_if<bool>(&value)) {
         out += *flag ? "true" : "false";
     } else if (const auto *whole = std::get_if<int64_t>(&value)) {
@@ -159,6 +161,12 @@
 {
 }
 
+LogField::LogField(std::string_view fieldName, Json json)
+    : name(fieldName)
+    , value(json)
+{
+}
+
 LogField::LogField(std::string_view fieldName, bool flag)
     : name(fieldName)
     , value(flag)
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -20,10 +20,15 @@
 
 /// One typed field of an event. Views must live until logEvent() returns.
 struct LogField {
-    using Value = std::variant<std::string_view, int64_t, double, bool>;
+    /// Text that is JSON already.
+    struct Json {
+        std::string_view text;
+    };
+    using Value = std::variant<std::string_view, int64_t, double, bool, Json>;
 
     LogField(std::string_view fieldName, std::string_view text);
     LogField(std::string_view fieldName, const char *text);
+    LogField(std::string_view fieldName, Json json);
     LogField(std::string_view fieldName, bool flag);
     LogField(std::string_view fieldName, double number);
     LogField(std::string_view fieldName, int number);
--- a/src/programs/damask-node/node.cpp
+++ b/src/programs/damask-node/node.cpp
@@ -102,8 +102,12 @@
 /// Asks the likeliest targets first, so that the choice rests on what holds now.
 Result<Permit> Node::State::acquire(const AcquireRequest &request)
 {
-    look.before(request);
-    return balancer.acquire(request);
+    const size_t asked = look.before(request);
+    auto permit = balancer.acquire(request);
+    if (permit) {
+        permit->asked = asked;
+    }
+    return permit;
 }
 
 std::vector<LoadNews> Node::State::ask(std::span<const Prospect> prospects, Duration patience)
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -41,10 +41,12 @@
      3600000},
     {"route", "elsewhere-cost", SettingType::Interval, "10 ms",
      "That a target in another data centre has to save, beside the way there.", 0, 60000},
-    {"route", "other-region-cost", SettingType::Interval, "60 ms",
+    {"route", "other-region-cost", SettingType::Interval, "400 ms",
      "That a target in another region has to save, beside the way there.", 0, 60000},
     {"route", "come-back-share", SettingType::Fraction, "0.1",
      "Of its time left, after which a refused caller may come back.", 0, 1},
+    {"log", "each", SettingType::Number, "64",
+     "One ordinary call in so many is logged; 0: none. Calls that failed or were late always are.", 0, 1000000},
     {"look", "at-once", SettingType::Number, "2", "Targets asked together before a call; 0: none.", 0, 16},
     {"look", "rounds", SettingType::Number, "2", "Times that others are asked.", 1, 16},
     {"look", "patience", SettingType::Interval, "40 ms", "For the answers of one round.", 1, 10000},
@@ -167,6 +169,7 @@
     out.dispatcher.safety = settings.interval("route", "safety");
     out.dispatcher.whyEvents = countOf(settings, "route", "why-events");
     out.dispatcher.comeBackShare = settings.fraction("route", "come-back-share");
+    out.dispatcher.logEach = countOf(settings, "log", "each");
     out.retryRatio = settings.fraction("route", "retry-ratio");
     out.retryWindow = settings.interval("route", "retry-window");
     out.queueWait = settings.interval("route", "queue-wait");
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -51,12 +51,22 @@
     CancelToken                 *cancel = nullptr;   // ends a wait early
 };
 
+/// What a choice rested on.
+struct TargetKnown {
+    float reportAge = -1; // ms since the target's last report; -1: it never reported
+    float estimate = 0;   // all entries' calls in flight there
+    float slowdown = 1;   // times as long as usual that work was taken to need there
+    int   others = 0;     // targets that it was compared with
+};
+
 /// Leave to send one attempt to one target.
 struct Permit {
     uint64_t                             id = 0;    // unique in this process
     std::shared_ptr<const TargetAddress> address;   // where to send
     std::string                          service;   // name
     TimePoint                            grantedAt; // when
+    TargetKnown                          known;     // of the target, when it was chosen
+    size_t                               asked = 0; // targets asked for the choice
     Duration                             waited{0}; // for a slot
 };
 
--- a/src/route/dispatcher.cpp
+++ b/src/route/dispatcher.cpp
@@ -12,8 +12,10 @@
 
 namespace {
 
-constexpr double SnapshotsPerSecond = 10; // records and log lines of failed calls
+constexpr double SnapshotsPerSecond = 10; // records of failed calls that carry what was known of all targets
 constexpr double SnapshotBurst = 20;
+constexpr double LogLinesPerSecond = 50; // on calls; the counters tell of all
+constexpr double LogLineBurst = 200;     // such lines at once
 
 float toFloatMs(Duration duration)
 {
@@ -38,15 +40,21 @@
     return code == Code::NoSuchService ? Code::NoTarget : code;
 }
 
-void logFailure(const WhyRecord &record)
+void fillKnown(WhyAttempt &out, const Permit &permit)
 {
-    logEvent(Severity::Warning, "call-failed",
-             {{"requestId", record.requestId.view()},
-              {"service", record.service.view()},
-              {"outcome", outcomeName(record.outcome)},
-              {"code", codeNumber(record.code)},
-              {"codeName", codeName(record.code)},
-              {"attempts", static_cast<int>(record.attemptCount)}});
+    out.waited = toFloatMs(permit.waited);
+    out.reportAge = permit.known.reportAge;
+    out.estimate = permit.known.estimate;
+    out.slowdown = permit.known.slowdown;
+    out.others = static_cast<uint16_t>(permit.known.others);
+    out.asked = static_cast<uint16_t>(permit.asked);
+}
+
+/// Whether a call is told of in full: it was not answered, not well, not in time or not at once.
+bool isNotable(const WhyRecord &record)
+{
+    const bool late = record.objective > 0 && record.took > record.objective;
+    return record.outcome != Outcome::Answered || record.status >= FirstErrorStatus || record.attemptCount > 1 || late;
 }
 
 } // namespace
@@ -59,6 +67,7 @@
     , counters(metrics)
     , ring(dispatcherOptions.whyEvents)
     , snapshots({.perSecond = SnapshotsPerSecond, .burst = SnapshotBurst}, runtimeClock.now())
+    , logLines({.perSecond = LogLinesPerSecond, .burst = LogLineBurst}, runtimeClock.now())
     , tasksChanged(runtimeClock)
 {
     timer = std::make_unique<HedgeTimer>(clock, [this](std::function<void()> it) { return runCounted(std::move(it)); });
@@ -109,6 +118,7 @@
         allowed = std::min(allowed, call.route.rule->timeout);
     }
     call.record.allowed = toFloatMs(allowed);
+    call.record.objective = toFloatMs(call.route.rule->objective);
     call.deadline = call.request.arrivedAt + allowed - options.safety;
     return clock.now() < call.deadline ? Code::Ok : Code::DeadlineTooShort;
 }
@@ -149,7 +159,7 @@
     beginAttempt(call);
     WhyAttempt &kept = call.record.addAttempt(permit.address->name);
     call.firstKept = call.record.attemptCount - 1;
-    kept.waited = toFloatMs(permit.waited);
+    fillKnown(kept, permit);
     AttemptResult out = mayHedge(call) ? sendHedged(call, permit, cancel) : send(call, permit, cancel);
     fillAttempt(call.record.attempts[call.firstKept], out);
     return out;
@@ -234,12 +244,33 @@
             }
         }
     }
-    if (snapshot) {
-        logFailure(record);
-    }
+    log(record);
     ring.add(record);
 }
 
+/// Notable calls are told of in full, one of many others as a sample, all within a budget of lines.
+void Dispatcher::State::log(const WhyRecord &record)
+{
+    const bool notable = isNotable(record);
+    uint64_t left = 0;
+    {
+        LockGuard lock(snapshotMutex);
+        const bool sampled = options.logEach > 0 && ++ordinaryCalls % options.logEach == 0;
+        if (!notable && !sampled) {
+            return;
+        }
+        if (!logLines.take(1, clock.now())) {
+            ++linesLeftOut;
+            counters.lineLeftOut();
+            return;
+        }
+        left = std::exchange(linesLeftOut, 0);
+    }
+    const std::string call = toJson(record, clock.now());
+    logEvent(notable ? Severity::Warning : Severity::Info, "call",
+             {{"call", LogField::Json{call}}, {"linesLeftOut", left}});
+}
+
 Dispatcher::Dispatcher(Clock &clock, Metrics &metrics, const DispatcherOptions &options, DispatcherHooks hooks)
     : m_state(std::make_unique<State>(clock, metrics, options, std::move(hooks)))
 {
--- a/src/route/dispatcher.h
+++ b/src/route/dispatcher.h
@@ -39,6 +39,7 @@
 struct DispatcherOptions {
     Duration safety = std::chrono::milliseconds(2); // kept of the deadline for the way back
     size_t   whyEvents = 4096;                      // calls kept for `damaskctl why`
+    uint64_t logEach = 0; // one ordinary call in so many is logged; 0: none. Calls that failed or were late always are
     double   comeBackShare = 0; // of its time left, after which a refused caller may come back; 0: after a second
     Duration leastComeBack = std::chrono::milliseconds(10); // with comeBackShare
 };
--- a/src/route/dispatcher_metrics.cpp
+++ b/src/route/dispatcher_metrics.cpp
@@ -16,6 +16,7 @@
 } // namespace
 
 DispatcherMetrics::DispatcherMetrics(Metrics &metrics)
+    : m_linesLeftOut(metrics.counter("damask_call_lines_left_out_total"))
 {
     for (const Outcome it : {Outcome::Answered, Outcome::NotRun, Outcome::Unknown}) {
         m_calls[position(it)] = &metrics.counter("damask_calls_total", {{"outcome", outcomeName(it)}});
@@ -23,7 +24,7 @@
     for (size_t n = 0; n < AttemptEnds.size(); ++n) {
         m_attempts[n] = &metrics.counter("damask_attempts_total", {{"end", AttemptEnds[n]}});
     }
-    for (auto it = RetryReason::NotSent; it <= RetryReason::Unavailable; it = RetryReason(position(it) + 1)) {
+    for (auto it = RetryReason::NotSent; it <= RetryReason::Failed; it = RetryReason(position(it) + 1)) {
         m_retries[position(it)] = &metrics.counter("damask_retries_total", {{"reason", retryReasonName(it)}});
     }
     for (auto it = RetryDenial::Cancelled; it <= RetryDenial::Budget; it = RetryDenial(position(it) + 1)) {
@@ -67,6 +68,11 @@
     }
 }
 
+void DispatcherMetrics::lineLeftOut()
+{
+    m_linesLeftOut.Increment();
+}
+
 void DispatcherMetrics::hedge(HedgeEnd end)
 {
     m_hedges[position(end)]->Increment();
--- a/src/route/dispatcher_metrics.h
+++ b/src/route/dispatcher_metrics.h
@@ -31,6 +31,7 @@
     void retry(RetryReason reason);  // once for each retry
     void denied(RetryDenial denial); // once for each failure that is not retried
     void hedge(HedgeEnd end);        // once for each hedge wished for
+    void lineLeftOut();              // once for each log line on a call that was left out
 
 private:
     static constexpr size_t MaxLabels = 8;
@@ -41,6 +42,7 @@
     Counters                                        m_retries{};
     Counters                                        m_denials{};
     Counters                                        m_hedges{};
+    prometheus::Counter                            &m_linesLeftOut;
     std::unordered_map<Code, prometheus::Counter *> m_codes; // filled once, read only afterwards
 };
 
--- a/src/route/dispatcher_state.h
+++ b/src/route/dispatcher_state.h
@@ -30,6 +30,7 @@
     RetryDenial   judge(const CallState &call, const AttemptResult &last, const CancelToken &cancel);
     void          sayWhenToComeBack(const CallState &call, Answer &answer) const;
     void          keep(CallState &call, const Answer &answer);
+    void          log(const WhyRecord &record);
 
     // Hedges: the call's thread, then the thread beside (dispatcher_hedge.cpp)
     AttemptResult sendHedged(CallState &call, const Permit &permit, CancelToken &cancel);
@@ -48,7 +49,10 @@
     std::shared_ptr<const RouteTable> table;
 
     RankedMutex snapshotMutex{LockRank::Route};
-    TokenBucket snapshots; // records that carry what was known of all targets
+    TokenBucket snapshots;         // records that carry what was known of all targets
+    TokenBucket logLines;          // on calls
+    uint64_t    ordinaryCalls = 0; // that might be sampled into the log
+    uint64_t    linesLeftOut = 0;  // since the last line on a call
 
     RankedMutex taskMutex{LockRank::Route};
     Condition   tasksChanged;
--- a/src/route/service_table.cpp
+++ b/src/route/service_table.cpp
@@ -398,6 +398,11 @@
     permit.service = m_service.name;
     permit.grantedAt = now;
     permit.waited = waited;
+    const TargetView view = viewOf(target, now);
+    permit.known = {.reportAge = target.load.lastReport() >= 0 ? view.reportAge : -1,
+                    .estimate = static_cast<float>(view.estimate),
+                    .slowdown = view.slowdown,
+                    .others = static_cast<int>(m_views.size())};
     target.load.sent({permit.id, caller, now});
     m_shares.started(caller);
     ++m_inFlight;
--- a/src/route/why.cpp
+++ b/src/route/why.cpp
@@ -97,6 +97,11 @@
     object.text("target", attempt.target.view());
     object.flag("hedge", attempt.hedge);
     object.number("waitedMs", attempt.waited);
+    object.whole("asked", attempt.asked).whole("others", attempt.others);
+    if (attempt.reportAge >= 0) {
+        object.number("reportAgeMs", attempt.reportAge);
+    }
+    object.number("estimate", attempt.estimate).number("slowdown", attempt.slowdown);
     if (!attempt.finished) {
         object.text("end", "left").end();
         return;
@@ -151,7 +156,7 @@
     object.text("outcome", outcomeName(record.outcome));
     appendCode(object, record.code);
     object.whole("status", record.status);
-    object.number("allowedMs", record.allowed).number("tookMs", record.took);
+    object.number("allowedMs", record.allowed).number("objectiveMs", record.objective).number("tookMs", record.took);
     appendList(object.list("attempts"), std::span(record.attempts).first(record.attemptCount), appendAttempt);
     appendList(object.list("known"), std::span(record.targets).first(record.targetCount), appendTarget);
     object.end();
@@ -159,6 +164,13 @@
 
 } // namespace
 
+std::string toJson(const WhyRecord &record, TimePoint now)
+{
+    std::string out;
+    appendRecord(out, record, now);
+    return out;
+}
+
 WhyAttempt &WhyRecord::addAttempt(std::string_view target)
 {
     if (attemptCount < attempts.size()) {
@@ -200,11 +212,7 @@
             }
         }
     }
-    std::string out;
-    if (any) {
-        appendRecord(out, found, now);
-    }
-    return out;
+    return any ? toJson(found, now) : std::string();
 }
 
 std::string WhyRing::byService(std::string_view service, size_t most, TimePoint now) const
--- a/src/route/why.h
+++ b/src/route/why.h
@@ -46,10 +46,15 @@
     bool          hedge = false;
     bool          finished = false; // false: the call ended before it
     Code          code = Code::Ok;
-    uint16_t      status = 0;  // HTTP status when answered
-    float         waited = 0;  // ms for a slot
-    float         connect = 0; // ms, 0: a kept connection
-    float         elapsed = 0; // ms from send to end
+    uint16_t      status = 0;     // HTTP status when answered
+    float         waited = 0;     // ms for a slot
+    float         reportAge = -1; // ms, of what was known of the target when it was chosen; -1: it never reported
+    float         estimate = 0;   // all entries' calls in flight there, as known then
+    float         slowdown = 1;   // times as long as usual that work needed there, as known then
+    uint16_t      others = 0;     // targets it was compared with
+    uint16_t      asked = 0;      // targets asked for the choice
+    float         connect = 0;    // ms, 0: a kept connection
+    float         elapsed = 0;    // ms from send to end
 };
 
 /// What was known of one target when a call was refused or failed.
@@ -80,15 +85,19 @@
     uint16_t                             status = 0;
     Outcome                              outcome = Outcome::NotRun;
     Code                                 code = Code::Ok;
-    uint64_t                             revision = 0; // of the configuration in force
-    float                                allowed = 0;  // ms, the deadline at arrival
-    float                                took = 0;     // ms, from arrival
+    uint64_t                             revision = 0;  // of the configuration in force
+    float                                allowed = 0;   // ms, the deadline at arrival
+    float                                objective = 0; // ms, within which an answer was wanted; 0: none
+    float                                took = 0;      // ms, from arrival
     std::array<WhyAttempt, MaxAttempts>  attempts;
     std::array<WhyTarget, MaxWhyTargets> targets;
 
     WhyAttempt &addAttempt(std::string_view target); // the last place when all are taken
 };
 
+/// The record as one JSON object, as logs and `damaskctl why` give it.
+std::string toJson(const WhyRecord &record, TimePoint now);
+
 /// Safe from all threads.
 class WhyRing
 {
--- a/tests/route/test_dispatcher.cpp
+++ b/tests/route/test_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "fakes/fake_back.h"
 #include "route/dispatcher.h"
+#include "route/dispatcher_table.h"
 
 #include <criterion/criterion.h>
 #include <deque>
@@ -254,3 +255,63 @@
     cr_assert(got.code == Code::DeadlineTooShort && got.outcome == Outcome::NotRun);
     cr_assert(back.seen().empty() && back.reports().size() == 1);
 }
+
+Test(dispatcher, an_error_answer_goes_again_where_the_rule_says_so)
+{
+    Configuration configuration = oneService();
+    Calls kept({answered(500, "sorry"), answered()}, configuration);
+    cr_assert(kept.call(request()).status == 500, "not by default");
+    configuration.rules[0].retryErrors = true;
+    Calls it({answered(500, "sorry"), answered()}, configuration);
+    const Answer got = it.call(request());
+    cr_assert(got.status == 200 && got.attempts == 2);
+    cr_assert(it.counted("damask_retries_total", "reason", "failed") == 1);
+    Calls once({answered(500, "sorry"), answered()}, configuration);
+    cr_assert(once.call(request("POST")).status == 500, "a call that ran may not run again");
+}
+
+Test(dispatcher, a_rule_bounds_the_targets_a_call_is_sent_to_and_not_the_failed_connections)
+{
+    Configuration configuration = oneService();
+    configuration.rules[0].maxAttempts = 2;
+    Calls refused({Refused}, configuration);
+    cr_assert(refused.call(request()).attempts == 2);
+    Calls unsent({NotSent, NotSent, answered()}, configuration);
+    const Answer got = unsent.call(request());
+    cr_assert(got.status == 200 && got.attempts == 3);
+}
+
+Test(dispatcher, a_rules_timeout_goes_before_a_longer_deadline)
+{
+    Configuration configuration = oneService();
+    configuration.rules[0].timeout = 800ms;
+    Calls it({answered()}, configuration);
+    CallRequest patient = request();
+    patient.timeLeft = 1500ms;
+    it.call(patient);
+    cr_assert((it.back.seen().at(0).timeLeft == 798ms));
+}
+
+Test(dispatcher, a_split_gives_each_service_its_share)
+{
+    Configuration configuration = oneService("a");
+    Service other = configuration.services[0];
+    other.name = "b";
+    configuration.services.push_back(other);
+    configuration.rules[0].service.clear();
+    configuration.rules[0].split = {{"a", 90}, {"b", 10}};
+    const RouteTable table(std::make_shared<const Configuration>(configuration), {});
+    int second = 0;
+    for (int n = 0; n < 200; ++n) {
+        second += table.find("any", "/").service->name == "b" ? 1 : 0;
+    }
+    cr_assert(second >= 18 && second <= 22, "%d of 200", second);
+}
+
+Test(dispatcher, a_service_that_is_gone_after_the_match_is_no_unknown_route)
+{
+    Calls it({answered()});
+    it.back.refuse(Code::NoSuchService);
+    const Answer got = it.call(request());
+    cr_assert(got.status == 503 && got.outcome == Outcome::NotRun);
+}
