Notice the store's return within half a second, and gather changes a little longer

Ruled out: a stale list (it lacks the worker), a late write. Now tries are at most half a second apart with 300 ms for a connection, and entries are held for 1.9 s.

--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -28,7 +28,8 @@
     std::string     watchedPrefix;                           // of both; changes of other keys are passed over
     Duration        gather = std::chrono::milliseconds(500); // from an answer to the next poll: each call is paid for
     Duration        pollWait = std::chrono::seconds(3);      // for a change; a watch that was lost is noticed no sooner
-    BackoffOptions  backoff = {std::chrono::milliseconds(100), std::chrono::seconds(1)}; // while the store is away
+    BackoffOptions  backoff = {std::chrono::milliseconds(100),
+                               std::chrono::milliseconds(500)}; // while the store is away
     RegistryOptions registry;
     std::vector<DataCentre> dataCentres; // all there are, with their regions
 };
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -11,7 +11,7 @@
 
 constexpr size_t DescriptorsForFiles = 200;   // of the process's limit, not for sockets
 constexpr size_t HeldShareOfMemory = 8;       // one part in so many of the memory limit may hold requests and answers
-constexpr double GatherShareOfBound = 0.25;   // of the time that a change has to be in force, between two polls
+constexpr double GatherShareOfBound = 0.4;    // of the time that a change has to be in force, between two polls
 constexpr double PollWaitShareOfBound = 1.75; // of that time, for a change: a watch that was lost is noticed no sooner
 constexpr double MassHoldShareOfDrain = 0.4;  // of the time that a target may still get work after it left
 
@@ -52,10 +52,10 @@
     {"look", "patience", SettingType::Interval, "40 ms", "For the answers of one round.", 1, 10000},
     {"look", "fresh", SettingType::Interval, "30 ms", "Age of a report that needs no asking.", 0, 10000},
     {"store", "endpoint", SettingType::Text, "127.0.0.1:2379", "IP number and port of the platform's store."},
-    {"store", "connect-timeout", SettingType::Interval, "500 ms", "For a connection.", 10, 600000},
+    {"store", "connect-timeout", SettingType::Interval, "300 ms", "For a connection.", 10, 600000},
     {"store", "call-timeout", SettingType::Interval, "1 s", "For a call, beside what it waits for a change.", 10,
      600000},
-    {"store", "lapse-hold", SettingType::Interval, "2 s",
+    {"store", "lapse-hold", SettingType::Interval, "1900 ms",
      "After the store's return, for entries of targets that lapsed to come back.", 0, 600000},
     {"bounds", "configuration", SettingType::Interval, "2 s", "For a change to be in force everywhere.", 100, 600000},
     {"bounds", "drain", SettingType::Interval, "2 s", "That a leaving target may still get work.", 100, 600000},
