--- a/src/programs/damaskctl/command_line.cpp
+++ b/src/programs/damaskctl/command_line.cpp
@@ -26,6 +26,7 @@
   damaskctl ticket export [options]
   damaskctl status [options]
   damaskctl why (--request=ID | --service=NAME) [options]
+  damaskctl explain ID FILE
   damaskctl codes
   damaskctl --help
   damaskctl --version
@@ -41,6 +42,7 @@
   -h --help           Show this text.
   --version           Show the version.
 
+explain tells from a log of nodes or entries (FILE) what became of the request ID.
 FILE is an INI ticket; - reads standard input. Start one with `damaskctl ticket export`, try it with
 `damaskctl ticket check FILE`, which changes nothing, then submit it.
 
@@ -79,6 +81,7 @@
     {"export", Verb::Export},
     {"status", Verb::Status},
     {"why", Verb::Why},
+    {"explain", Verb::Explain},
     {"codes", Verb::Codes},
 });
 
@@ -94,14 +97,9 @@
 
 Result<Endpoint> readEndpoint(std::string_view option, std::string_view text)
 {
-    const size_t colon = text.rfind(':');
-    const auto port = parseNumber(colon == std::string_view::npos ? "" : text.substr(colon + 1));
-    const std::string_view address = text.substr(0, colon);
-    if (!port || *port < 1 || *port > UINT16_MAX || !isIpNumber(address)) {
-        return fail(Code::BadUsage, std::string(option) + "=" + std::string(text)
-                                        + ": needs an IP number and a port, as in 127.0.0.1:7000");
-    }
-    return Endpoint{std::string(address), static_cast<uint16_t>(*port)};
+    return parseEndpoint(text).map_error([&](const Error &ec) {
+        return Error{Code::BadUsage, std::string(option) + ": " + ec.detail};
+    });
 }
 
 Result<void> readOptions(CommandLine &line, const Arguments &arguments)
@@ -158,7 +156,7 @@
     }
     line.verb = verbIn(arguments);
     line.file = textIn(arguments, "FILE");
-    line.request = textIn(arguments, "--request");
+    line.request = textIn(arguments, line.verb == Verb::Explain ? "ID" : "--request");
     line.service = textIn(arguments, "--service");
     const auto options = readOptions(line, arguments);
     if (!options) {
--- a/src/programs/damaskctl/command_line.h
+++ b/src/programs/damaskctl/command_line.h
@@ -3,6 +3,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "settings/address.h"
 
 #include <cstdint>
 #include <span>
@@ -25,20 +26,15 @@
     Export,
     Status,
     Why,
+    Explain,
     Codes,
 };
 
-/// Where a program's operators' port is.
-struct Endpoint {
-    std::string address;  // IP number
-    uint16_t    port = 0; // TCP
-};
-
 struct CommandLine {
     Verb        verb = Verb::Help;
-    std::string file;         // of a ticket; "-": standard input
+    std::string file;         // of a ticket or a log; "-": standard input
     uint64_t    number = 0;   // of a ticket
-    std::string request;      // id of a request, for why
+    std::string request;      // id of a request, for why and explain
     std::string service;      // name, for why
     Endpoint    keeper;       // asked for tickets and status
     Endpoint    entry;        // asked for why
--- a/src/programs/damaskctl/commands.cpp
+++ b/src/programs/damaskctl/commands.cpp
@@ -1,6 +1,7 @@
 #include "programs/damaskctl/commands.h"
 
 #include "programs/damaskctl/advice.h"
+#include "programs/damaskctl/explain.h"
 #include "programs/damaskctl/render.h"
 #include "startup/program.h"
 
@@ -60,6 +61,8 @@
         case Verb::Version:
             m_hooks.print("damaskctl " DAMASK_VERSION "\n");
             return ExitOk;
+        case Verb::Explain:
+            return explainRequest();
         case Verb::Codes:
             m_hooks.print(renderCodes());
             return ExitOk;
@@ -151,6 +154,21 @@
         return std::string(path) + "?source=" + percentEncoded(m_line.file);
     }
 
+    int explainRequest()
+    {
+        const auto log = m_hooks.readFile(m_line.file);
+        if (!log) {
+            return fileFailed(log.error());
+        }
+        const std::string told = explain(m_line.request, *log);
+        if (told.empty()) {
+            m_hooks.complain("damaskctl: no line of the log is on request " + m_line.request + "\n");
+            return ExitFailed;
+        }
+        m_hooks.print(told);
+        return ExitOk;
+    }
+
     int sendTicket(std::string_view path, const Render &render)
     {
         const auto text = m_hooks.readFile(m_line.file);
--- a/src/programs/damaskctl/main.cpp
+++ b/src/programs/damaskctl/main.cpp
@@ -12,9 +12,11 @@
 
 using namespace damask;
 
+constexpr size_t MostInputBytes = 512UL * 1024 * 1024; // a log may be large
+
 static Result<std::string> readInput(std::string_view path)
 {
-    return readFile(path == "-" ? "/dev/stdin" : path);
+    return readFile(path == "-" ? "/dev/stdin" : path, MostInputBytes);
 }
 
 static int64_t wallClock()
--- a/src/settings/address.cpp
+++ b/src/settings/address.cpp
@@ -14,7 +14,7 @@
            && (inet_pton(AF_INET, number.c_str(), &buf) == 1 || inet_pton(AF_INET6, number.c_str(), &buf) == 1);
 }
 
-Result<IpEndpoint> parseEndpoint(std::string_view text)
+Result<Endpoint> parseEndpoint(std::string_view text)
 {
     const size_t colon = text.rfind(':');
     std::string_view address = text.substr(0, colon);
@@ -26,9 +26,9 @@
     const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
     if (!isIpNumber(address) || ec != std::errc() || end != digits.data() + digits.size() || port == 0) {
         return fail(Code::BadSettings,
-                    "endpoint \"" + std::string(text) + "\": needs an IP number, a colon and a port from 1 to 65535");
+                    "endpoint \"" + std::string(text) + "\": needs an IP number and a port, as in 127.0.0.1:7000");
     }
-    return IpEndpoint{std::string(address), port};
+    return Endpoint{std::string(address), port};
 }
 
 } // namespace damask
--- a/src/settings/address.h
+++ b/src/settings/address.h
@@ -13,12 +13,12 @@
 bool isIpNumber(std::string_view text);
 
 /// An IP number and a TCP port.
-struct IpEndpoint {
+struct Endpoint {
     std::string address;
     uint16_t    port = 0;
 };
 
 /// Reads "192.0.2.7:8080" or "[2001:db8::7]:8080". BadSettings says what is allowed.
-Result<IpEndpoint> parseEndpoint(std::string_view text);
+Result<Endpoint> parseEndpoint(std::string_view text);
 
 } // namespace damask
--- /dev/null
+++ b/tests/programs/test_explain.cpp
@@ -0,0 +1,41 @@
+#include "programs/damaskctl/explain.h"
+
+#include <criterion/criterion.h>
+#include <string>
+
+using namespace damask;
+
+namespace {
+
+constexpr std::string_view Log =
+    "  2.1 node-b {\"time\":\"2026-12-04T10:00:02.000Z\",\"event\":\"call\",\"call\":{\"requestId\":\"r-1\","
+    "\"service\":\"s\",\"rule\":\"r\",\"revision\":7,\"outcome\":\"unknown\",\"code\":201,\"status\":504,"
+    "\"allowedMs\":400,\"objectiveMs\":100,\"tookMs\":398,\"attempts\":[{\"target\":\"s/i-1\",\"end\":\"lost\","
+    "\"codeName\":\"AnswerTimeout\",\"others\":12,\"estimate\":1,\"slowdown\":7,\"reportAgeMs\":2,\"elapsedMs\":390,"
+    "\"noRetry\":\"not-idempotent\"}]}}\n"
+    "not JSON that names r-1 {\n"
+    "{\"time\":\"2026-12-04T10:00:01.000Z\",\"event\":\"call\",\"call\":{\"requestId\":\"r-1\",\"code\":105,"
+    "\"status\":503,\"outcome\":\"not-run\",\"attempts\":[]}}\n"
+    "{\"time\":\"2026-12-04T10:00:03.000Z\",\"event\":\"call\",\"call\":{\"requestId\":\"r-12\",\"code\":101}}\n"
+    "{\"event\":\"call\",\"call\":\"r-1\"}\n";
+
+} // namespace
+
+Test(explain, tells_a_requests_lines_in_order_with_the_cause)
+{
+    const std::string told = explain("r-1", Log);
+    const size_t first = told.find("2026-12-04T10:00:01.000Z");
+    const size_t second = told.find("2026-12-04T10:00:02.000Z   2.1 node-b");
+    cr_assert(first != std::string::npos && second != std::string::npos && first < second, "%s", told.c_str());
+    cr_assert(told.find("sent to s/i-1: lost (AnswerTimeout) after 390 ms") != std::string::npos);
+    cr_assert(told.find("work 7 times as long as usual, told 2 ms before; no other attempt: not-idempotent")
+              != std::string::npos);
+    cr_assert(told.find("cause: The target did not answer before the deadline.") != std::string::npos);
+    cr_assert(told.find("r-12") == std::string::npos);
+}
+
+Test(explain, is_empty_where_no_line_is_on_the_request)
+{
+    cr_assert(explain("r-9", Log).empty());
+    cr_assert(explain("", Log).empty());
+}
