--- a/src/front/drive.cpp
+++ b/src/front/drive.cpp
@@ -119,7 +119,7 @@
 TimePoint FrontServer::State::readDeadline(const CallerConnection &it) const
 {
     const double bought = static_cast<double>(it.heldBytes) / static_cast<double>(options.leastBytesPerSecond);
-    return it.firstByteAt + options.sendTimeout + fromMilliseconds(bought * 1000);
+    return it.firstByteAt + Duration(sendTimeout.load()) + fromMilliseconds(bought * 1000);
 }
 
 /// When an idle connection closes, by the time-out in force now.
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -35,6 +35,7 @@
     , readBuffer(ReadBytes)
     , nextId(ListenerId + 1)
     , logBudget({.perSecond = LogLinesPerSecond, .burst = LogBurst}, c.now())
+    , sendTimeout(o.sendTimeout.count())
     , changed(c)
     , limits(o.limits)
     , timer(c, [this] { events.wake(); })
@@ -77,9 +78,10 @@
     return {};
 }
 
-void FrontServer::bound(const RequestLimits &limits, Duration idle)
+void FrontServer::bound(const RequestLimits &limits, Duration idle, Duration send)
 {
     m_state->idleTimeout = idle.count();
+    m_state->sendTimeout = send.count();
     LockGuard lock(m_state->mutex);
     m_state->limits = limits;
 }
--- a/src/front/server.h
+++ b/src/front/server.h
@@ -55,12 +55,14 @@
                 CallerForm form = ownCallerForm());
     ~FrontServer(); // stops
 
-    Result<void> start();                                           // SystemError when the port can't be had
-    void         bound(const RequestLimits &limits, Duration idle); // from now on; idle 0: kept open for good
-    void         leave();      // from now on each answer closes its connection; still takes and serves calls
-    void         stop();       // takes no more connections, closes idle ones, returns when all calls have ended
-    uint16_t     port() const; // the one listened on, after start()
-    FrontStatus  status() const;
+    Result<void> start(); // SystemError when the port can't be had
+    /// From now on: what a request may be, for how long an idle connection is kept (0: for good), and how long a caller
+    /// may take to send a request.
+    void        bound(const RequestLimits &limits, Duration idle, Duration send);
+    void        leave();      // from now on each answer closes its connection; still takes and serves calls
+    void        stop();       // takes no more connections, closes idle ones, returns when all calls have ended
+    uint16_t    port() const; // the one listened on, after start()
+    FrontStatus status() const;
 
 private:
     struct State;
--- a/src/front/state.h
+++ b/src/front/state.h
@@ -84,6 +84,7 @@
     std::atomic<bool>     leaving{false};
     std::atomic<bool>     done{false};
     std::atomic<int64_t>  idleTimeout{0}; // ns, 0: none
+    std::atomic<int64_t>  sendTimeout;    // ns, for a caller to send a request
 
     mutable RankedMutex                     mutex{LockRank::Server};
     Condition                               changed; // a connection closed, or the listener
--- a/src/programs/damask-node/node.cpp
+++ b/src/programs/damask-node/node.cpp
@@ -163,7 +163,8 @@
 {
     balancer.apply(next);
     dispatcher.apply(next);
-    front.bound({watched.limits.headerBytes, watched.limits.bodyBytes}, watched.limits.idleTimeout);
+    front.bound({watched.limits.headerBytes, watched.limits.bodyBytes}, watched.limits.idleTimeout,
+                watched.limits.headerTimeout);
     size_t targets = 0;
     for (const Pool &it : next->pools) {
         targets += it.targets.size();
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -23,7 +23,6 @@
     {"instance", "descriptors", SettingType::Number, "4096", "Files and sockets open at once.", 256, 10000000},
     {"front", "endpoint", SettingType::Text, "127.0.0.1:8080", "IP number and port that callers reach."},
     {"front", "workers", SettingType::Number, "192", "Calls served at once.", 2, 4096},
-    {"front", "send-timeout", SettingType::Interval, "10 s", "For a caller to send a request.", 100, 600000},
     {"front", "take-timeout", SettingType::Interval, "10 s", "For a caller to take more of its answer.", 100, 600000},
     {"targets", "connect-timeout", SettingType::Interval, "250 ms", "For a new connection to a target.", 1, 60000},
     {"targets", "idle-limit", SettingType::Interval, "8 s", "Age at which an idle connection is closed.", 1, 600000},
@@ -98,7 +97,6 @@
     out.maxHeldBytes = memory / HeldShareOfMemory;
     out.maxConnections = (countOf(settings, "instance", "descriptors") - DescriptorsForFiles) / 2;
     out.admission = {.workers = countOf(settings, "front", "workers"), .reservedEach = 0, .levels = 0};
-    out.sendTimeout = settings.interval("front", "send-timeout");
     out.takeTimeout = settings.interval("front", "take-timeout");
     out.retryAfter = std::chrono::milliseconds(100);
     return out;
--- a/tests/front/test_limits.cpp
+++ b/tests/front/test_limits.cpp
@@ -156,3 +156,31 @@
     }
     cr_assert(it.refusals(Code::EntryBusy) == 3);
 }
+
+Test(limits, bounds_that_change_hold_from_then_on)
+{
+    RunningFront it;
+    it.clock.pause();
+    it.front.bound({.headerBytes = 4096, .bodyBytes = 9}, 5s, 3s);
+    RawCaller large = it.caller();
+    cr_assert(large.ask(std::string(PostHead) + "0123456789").status == 413);
+    RawCaller slow = it.caller();
+    slow.send("GET / HTTP/1.1\r\nHost:");
+    waitForHeldBytes(it, 21);
+    it.clock.advance(3100ms);
+    cr_assert(slow.receive().status == 408);
+}
+
+Test(limits, an_idle_connection_closes_when_its_time_is_over_and_not_when_that_was_made_longer)
+{
+    RunningFront it;
+    it.clock.pause();
+    it.front.bound({}, 5s, 10s);
+    RawCaller first = it.caller();
+    cr_assert(first.ask("GET / HTTP/1.1\r\nHost: a\r\n\r\n").status == 200);
+    it.front.bound({}, 20s, 10s);
+    it.clock.advance(6s);
+    cr_assert(first.ask("GET / HTTP/1.1\r\nHost: a\r\n\r\n").status == 200);
+    it.clock.advance(21s);
+    cr_assert(first.closedByPeer());
+}
