--- a/tests/front/test_limits.cpp
+++ b/tests/front/test_limits.cpp
@@ -157,13 +157,20 @@
     cr_assert(it.refusals(Code::EntryBusy) == 3);
 }
 
-Test(limits, bounds_that_change_hold_from_then_on)
+Test(limits, a_body_limit_may_change)
 {
     RunningFront it;
     it.clock.pause();
     it.front.bound({.headerBytes = 4096, .bodyBytes = 9}, 5s, 3s);
     RawCaller large = it.caller();
     cr_assert(large.ask(std::string(PostHead) + "0123456789").status == 413);
+}
+
+Test(limits, the_time_to_send_a_request_may_change)
+{
+    RunningFront it;
+    it.clock.pause();
+    it.front.bound({}, 5s, 3s);
     RawCaller slow = it.caller();
     slow.send("GET / HTTP/1.1\r\nHost:");
     waitForHeldBytes(it, 21);
