--- a/src/back/answer_head.cpp
+++ b/src/back/answer_head.cpp
@@ -1,9 +1,9 @@
 #include "back/answer_head.h"
 
+#include "back/field_text.h"
 #include "back/request_head.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace damask {
 
@@ -24,22 +24,6 @@
     return n == '\t' || (n >= 0x20 && n != 0x7f);
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    const size_t first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
-template<class T>
-bool parseWhole(std::string_view text, T &out)
-{
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
-    return ec == std::errc() && end == text.data() + text.size() && !text.empty();
-}
-
 /// Takes one line without its CRLF off the front of text; false when there is none.
 bool takeLine(std::string_view &text, std::string_view &line)
 {
--- /dev/null
+++ b/src/back/field_text.h
@@ -0,0 +1,28 @@
+/// Small readers of header text that the heads and forms of this package share.
+#pragma once
+
+#include <charconv>
+#include <string_view>
+#include <system_error>
+
+namespace damask {
+
+/// Without spaces and tabs at its ends.
+inline std::string_view trimmed(std::string_view text)
+{
+    const size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+/// Reads a number that is the whole text; false otherwise.
+template<class T>
+bool parseWhole(std::string_view text, T &out)
+{
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
+    return ec == std::errc() && end == text.data() + text.size() && !text.empty();
+}
+
+} // namespace damask
--- a/src/back/request_head.cpp
+++ b/src/back/request_head.cpp
@@ -1,5 +1,7 @@
 #include "back/request_head.h"
 
+#include "back/field_text.h"
+
 #include <algorithm>
 #include <array>
 
@@ -16,15 +18,6 @@
 /// Fields that are written here for every form, or answered here (Expect).
 constexpr std::array<std::string_view, 3> WrittenHere{"Host", "Content-Length", "Expect"};
 
-std::string_view trimmed(std::string_view text)
-{
-    const size_t first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 bool listHas(std::string_view list, std::string_view name)
 {
     while (!list.empty()) {
--- a/src/back/target_form.cpp
+++ b/src/back/target_form.cpp
@@ -1,12 +1,12 @@
 #include "back/target_form.h"
 
+#include "back/field_text.h"
 #include "back/load_report.h"
 #include "back/request_head.h"
 #include "call/headers.h"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace damask {
 
@@ -26,22 +26,6 @@
     return std::any_of(names.begin(), names.end(), [name](std::string_view it) { return sameHeaderName(it, name); });
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    const size_t first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
-template<class T>
-bool parseWhole(std::string_view text, T &out)
-{
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
-    return ec == std::errc() && end == text.data() + text.size() && !text.empty();
-}
-
 /// Reads "inflight=3; slots=6".
 std::optional<LoadReport> parseLoad(std::string_view text)
 {
