--- a/tests/fakes/fake_platform_store.h
+++ b/tests/fakes/fake_platform_store.h
@@ -204,6 +204,9 @@
         if (!peer.waits || m_mood == StoreMood::Silent) {
             return true;
         }
+        if (m_mood != StoreMood::Well) {
+            return false; // trouble cuts the polls that wait
+        }
         if (peer.after < m_oldest) {
             return reply(peer, "410 Gone", "{}");
         }
