--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -140,7 +140,7 @@
         }
         line += '\n';
         if (!takesNow() || ::write(outputDescriptor, line.data(), line.size()) < 0) {
-            lost.fetch_add(1, std::memory_order_relaxed); // told by a metric: there is nowhere left to write it
+            lost.fetch_add(1, std::memory_order_relaxed); // there is nowhere left to write it
         }
     }
 };
--- a/src/programs/damask-node/node.cpp
+++ b/src/programs/damask-node/node.cpp
@@ -305,21 +305,11 @@
     logEvent(Severity::Info, "node-stopped", {{"tookMs", toMilliseconds(state.clock.now() - asked)}});
 }
 
-bool Node::ready() const
-{
-    return m_state->readiness().has_value();
-}
-
 uint16_t Node::callerPort() const
 {
     return m_state->front.port();
 }
 
-uint16_t Node::readyPort() const
-{
-    return m_state->readyServer.port();
-}
-
 uint16_t Node::operatorPort() const
 {
     return m_state->operate.port();
--- a/src/programs/damask-node/node.h
+++ b/src/programs/damask-node/node.h
@@ -43,9 +43,7 @@
     Result<void> start(); // SystemError when a port can't be had
     void         stop();  // gracefully, within the grace: readiness fails, the notice passes, calls in flight end
 
-    bool     ready() const;
     uint16_t callerPort() const;   // after start()
-    uint16_t readyPort() const;    // after start()
     uint16_t operatorPort() const; // after start()
 
 private:
