Hear changes of the store from other nodes, so that few of them ask it

Ruled out: fewer or longer polls (a watch that is lost is then noticed too late for the bounds), and leases for watchers in the store (writes, and a herd when one ends).

Change: the machines that the settings name as seeds are followed by the others. The first seed that lives asks the store, the other seeds follow it, all other nodes the nearest seed. A node sends a request at a beat of a tenth of the bound; the answer says how old the seed's knowledge is, and changes are told unasked to those that follow. News that can't be proven fresh within 0.55 of the bound send a node to the store itself, so losing any seeds costs calls and no bound. Decisions are in follow/source_choice and follow/change_log (pure), messages in wire, sockets in damask-node's neighbours.

Follow-ups: calls while seeds restart, bytes between regions.

--- /dev/null
+++ b/src/programs/damask-node/neighbours.cpp
@@ -0,0 +1,208 @@
+#include "programs/damask-node/neighbours.h"
+
+#include "base/lock.h"
+#include "base/log.h"
+#include "wire/node.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+namespace damask {
+
+namespace {
+
+constexpr double ShareOfLink = 0.1;     // seconds of the link that one change may take for all followers together
+constexpr size_t LeastNewsBytes = 1024; // that an answer may carry on the slowest link
+constexpr size_t SendLimit = 8;         // messages that wait for one connection; a seed that is down gets no more later
+
+/// A node that asked lately.
+struct FollowedBy {
+    WireSource source;
+    uint64_t revision = 0; // that it knows, or was told
+    TimePoint askedAt{};
+};
+
+std::string peerAddress(std::string_view endpoint)
+{
+    return "tcp://" + std::string(endpoint);
+}
+
+} // namespace
+
+struct Neighbours::State {
+    State(Clock &clockIn, Metrics &metricsIn, const NeighbourOptions &optionsIn, NeighbourHooks hooksIn);
+
+    void receive(const WireSource &source, const Message &message);
+    void answer(const WireSource &source, const FollowRequest &request);
+    size_t mostBytes(size_t receivers) const;
+    size_t remember(const WireSource &source, uint64_t revision);
+    void forgetSilent(TimePoint now);
+    Message messageOf(MessageBody body) const;
+
+    Clock &clock;
+    Metrics &metrics;
+    NeighbourOptions options;
+    NeighbourHooks hooks;
+    uint64_t incarnation = std::random_device()();
+    mutable RankedMutex mutex{LockRank::Wire};
+    std::map<std::string, FollowedBy> followers; // by route; under mutex
+    bool started = false;
+    WireNode wire;
+};
+
+Neighbours::State::State(Clock &clockIn, Metrics &metricsIn, const NeighbourOptions &optionsIn, NeighbourHooks hooksIn)
+    : clock(clockIn)
+    , metrics(metricsIn)
+    , options(optionsIn)
+    , hooks(std::move(hooksIn))
+    , wire(clockIn, metricsIn,
+           {.name = optionsIn.instance,
+            .listeners = {{peerAddress(optionsIn.address + ":"
+                                       + (optionsIn.port == 0 ? "*" : std::to_string(optionsIn.port))),
+                           "peer",
+                           {}}},
+            .sendLimit = SendLimit},
+           {.receive = [this](const WireSource &source, const Message &message) {
+               receive(source, message);
+           }})
+{
+}
+
+Message Neighbours::State::messageOf(MessageBody body) const
+{
+    return {options.instance, incarnation, std::move(body)};
+}
+
+void Neighbours::State::receive(const WireSource &source, const Message &message)
+{
+    if (const auto *request = std::get_if<FollowRequest>(&message.body)) {
+        answer(source, *request);
+    } else if (const auto *news = std::get_if<StoreNews>(&message.body)) {
+        hooks.heard(*news);
+    } else {
+        metrics.countCode("damask_wire_refusals_total", Code::BadMessage);
+        logEvent(Severity::Warning, "message-refused",
+                 {{"code", codeNumber(Code::BadMessage)}, {"sender", message.sender}, {"reason", "not for a node"}});
+    }
+}
+
+void Neighbours::State::answer(const WireSource &source, const FollowRequest &request)
+{
+    const size_t receivers = request.follows ? remember(source, request.revision) : 1;
+    const StoreNews news = hooks.news(request, mostBytes(receivers));
+    if (!wire.reply(source, messageOf(news))) {
+        metrics.countCode("damask_wire_refusals_total", Code::QueueFull);
+    }
+}
+
+size_t Neighbours::State::mostBytes(size_t receivers) const
+{
+    const double share = static_cast<double>(options.linkBytes) * ShareOfLink;
+    return std::max(static_cast<size_t>(share) / std::max<size_t>(receivers, 1), LeastNewsBytes);
+}
+
+/// The number of followers with this one.
+size_t Neighbours::State::remember(const WireSource &source, uint64_t revision)
+{
+    const TimePoint now = clock.now();
+    LockGuard lock(mutex);
+    forgetSilent(now);
+    const bool fresh = !followers.contains(source.route);
+    followers[source.route] = {source, revision, now};
+    if (fresh) {
+        logEvent(Severity::Info, "follower-came",
+                 {{"followers", static_cast<uint64_t>(followers.size())}, {"revision", revision}});
+    }
+    return followers.size();
+}
+
+/// With the mutex held.
+void Neighbours::State::forgetSilent(TimePoint now)
+{
+    for (auto it = followers.begin(); it != followers.end();) {
+        if (now - it->second.askedAt <= options.forgetAfter) {
+            ++it;
+            continue;
+        }
+        it = followers.erase(it);
+        logEvent(Severity::Info, "follower-silent", {{"followers", static_cast<uint64_t>(followers.size())}});
+    }
+}
+
+Neighbours::Neighbours(Clock &clock, Metrics &metrics, const NeighbourOptions &options, NeighbourHooks hooks)
+    : m_state(std::make_unique<State>(clock, metrics, options, std::move(hooks)))
+{
+}
+
+Neighbours::~Neighbours()
+{
+    stop();
+}
+
+Result<void> Neighbours::start()
+{
+    if (m_state->options.address.empty()) {
+        return {};
+    }
+    return m_state->wire.start().map([this] { m_state->started = true; });
+}
+
+void Neighbours::stop()
+{
+    if (std::exchange(m_state->started, false)) {
+        m_state->wire.stop();
+    }
+}
+
+void Neighbours::ask(std::span<const SourceAsk> requests)
+{
+    for (const SourceAsk &it : requests) {
+        const WirePeer peer{.address = peerAddress(m_state->options.seeds.at(it.seed)), .serverKey = {}, .key = {}};
+        if (!m_state->wire.send(peer, m_state->messageOf(it.request))) {
+            m_state->metrics.countCode("damask_wire_refusals_total", Code::QueueFull);
+        }
+    }
+}
+
+void Neighbours::tell()
+{
+    std::vector<FollowedBy> all;
+    {
+        LockGuard lock(m_state->mutex);
+        m_state->forgetSilent(m_state->clock.now());
+        for (auto &[route, it] : m_state->followers) {
+            all.push_back(it);
+        }
+    }
+    const size_t most = m_state->mostBytes(all.size());
+    for (const FollowedBy &it : all) {
+        const StoreNews news = m_state->hooks.news({.number = 0, .revision = it.revision, .follows = true}, most);
+        if (news.whole && news.changes.empty()) {
+            continue; // nothing that it has not been told
+        }
+        if (!m_state->wire.reply(it.source, m_state->messageOf(news))) {
+            m_state->metrics.countCode("damask_wire_refusals_total", Code::QueueFull);
+            continue;
+        }
+        LockGuard lock(m_state->mutex);
+        const auto held = m_state->followers.find(it.source.route);
+        if (held != m_state->followers.end()) {
+            held->second.revision = std::max(held->second.revision, news.revision);
+        }
+    }
+}
+
+size_t Neighbours::followers() const
+{
+    LockGuard lock(m_state->mutex);
+    return m_state->followers.size();
+}
+
+uint16_t Neighbours::port() const
+{
+    const std::string bound = m_state->wire.address(0);
+    return static_cast<uint16_t>(std::stoul(bound.substr(bound.rfind(':') + 1)));
+}
+
+} // namespace damask
--- a/src/programs/damask-node/node.cpp
+++ b/src/programs/damask-node/node.cpp
@@ -48,6 +48,7 @@
     FrontServer front;
     StoreClient store;
     Follower follower;
+    Neighbours neighbours; // after the follower: it answers from it until it has stopped
     OperateServer readyServer;
     OperateServer operate;
     Thread tidier;
@@ -90,10 +91,20 @@
                             [this](WatchedConfiguration it) { return readConfiguration(std::move(it)); });
                     },
                 .readTarget = form.readTarget,
-                .apply =
-                    [this](std::shared_ptr<const Configuration> next, const WatchedConfiguration &watched) {
-                        apply(std::move(next), watched);
+                .apply = [this](std::shared_ptr<const Configuration> next,
+                                const WatchedConfiguration &watched) { apply(std::move(next), watched); },
+                .ask = [this](std::span<const SourceAsk> requests) { neighbours.ask(requests); },
+                .changed =
+                    [this] {
+                        neighbours.tell();
                     }})
+    , neighbours(
+          c, m, o.neighbours,
+          {.news = [this](const FollowRequest &request, size_t mostBytes) { return follower.news(request, mostBytes); },
+           .heard =
+               [this](StoreNews news) {
+                   follower.hear(std::move(news));
+               }})
     , readyServer(o.readiness)
     , operate(o.operate)
 {
@@ -197,6 +208,9 @@
     out += ", \"leaving\": " + std::string(leaving ? "true" : "false");
     out += ", \"storeAnswers\": " + std::string(n.storeAnswers ? "true" : "false");
     out += ", \"heardAgeMs\": " + std::to_string(static_cast<int64_t>(toMilliseconds(clock.now() - n.heardAt)));
+    out += ", \"source\": ";
+    appendJsonString(out, n.source.empty() ? "store" : std::string_view(n.source));
+    out += ", \"followers\": " + std::to_string(neighbours.followers());
     out += ", \"version\": " + std::to_string(n.version);
     out += ", \"storeRevision\": " + std::to_string(n.revision);
     out += ", \"targets\": " + std::to_string(n.targets);
@@ -261,9 +275,10 @@
                            [&state] {
                                return state.status();
                            }});
-    const auto started = state.readyServer.start().and_then([&] { return state.operate.start(); }).and_then([&] {
-        return state.front.start();
-    });
+    const auto started = state.readyServer.start()
+                             .and_then([&] { return state.operate.start(); })
+                             .and_then([&] { return state.neighbours.start(); })
+                             .and_then([&] { return state.front.start(); });
     if (!started) {
         return started;
     }
@@ -299,6 +314,7 @@
     }
     limit.join();
     state.follower.stop();
+    state.neighbours.stop();
     state.tidier.join();
     state.readyServer.stop();
     state.operate.stop();
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -13,13 +13,29 @@
 constexpr size_t HeldShareOfMemory = 8;       // one part in so many of the memory limit may hold requests and answers
 constexpr double GatherShareOfBound = 0.4;    // of the time that a change has to be in force, between two polls
 constexpr double PollWaitShareOfBound = 1.75; // of that time, for a change: a watch that was lost is noticed no sooner
-constexpr double MassHoldShareOfDrain = 0.4;  // of the time that a target may still get work after it left
+constexpr double MassHoldShareOfDrain = 0.35; // of the time that a target may still get work after it left
+
+// Shares of the time that a change has to be in force, of what is known from other nodes. What a node knows is at most
+// staleAfter old before it asks the store, and MassHoldShareOfDrain comes on top of it.
+constexpr double SeedGatherShareOfBound = 0.1;    // between two polls of a seed: the news of all others rest on it
+constexpr double SeedPollWaitShareOfBound = 0.2;  // for a change
+constexpr double BeatShareOfBound = 0.1;          // between two requests to the seed that is followed
+constexpr double PatienceShareOfBound = 0.4;      // for an answer
+constexpr double RetryShareOfBound = 0.75;        // between two requests to a seed that gives no answer
+constexpr double ScanShareOfBound = 5;            // between two requests to seeds that are not followed
+constexpr double StaleShareOfBound = 0.55;        // age of news at which a node asks the store
+constexpr double SeedStaleShareOfBound = 0.45;    // the same for a seed, so that it knows before its followers ask
+constexpr double LeastBackoffShareOfBound = 0.25; // of a node that can follow seeds, while the store is away
+constexpr double MostBackoffShareOfBound = 0.75;
+constexpr double KeepShareOfBound = 2.5; // for changes to be told on, well over the age of any news
+constexpr double BytesOfMegabit = 125000;
 
 constexpr auto Specs = std::to_array<SettingSpec>({
     {"instance", "name", SettingType::Text, "node", "Name of this instance, unique in the system."},
     {"instance", "data-centre", SettingType::Text, "", "Data centre that it stands in, one of data-centres."},
     {"instance", "data-centres", SettingType::List, "", "All data centres, each as NAME:REGION."},
     {"instance", "memory", SettingType::Number, "256", "MB that the process may use.", 16, 1048576},
+    {"instance", "link", SettingType::Fraction, "1000", "Mbit/s of its link.", 0.1, 1000000},
     {"instance", "descriptors", SettingType::Number, "4096", "Files and sockets open at once.", 256, 10000000},
     {"front", "endpoint", SettingType::Text, "127.0.0.1:8080", "IP number and port that callers reach."},
     {"front", "workers", SettingType::Number, "192", "Calls served at once.", 2, 4096},
@@ -56,6 +72,10 @@
      600000},
     {"store", "lapse-hold", SettingType::Interval, "1900 ms",
      "After the store's return, for entries of targets that lapsed to come back.", 0, 600000},
+    {"nodes", "endpoint", SettingType::Text, "",
+     "IP number and port that other nodes reach; empty: this node follows the store alone."},
+    {"nodes", "seeds", SettingType::List, "",
+     "Endpoints of the nodes that others follow, in the same order on all nodes; empty: each follows the store."},
     {"bounds", "configuration", SettingType::Interval, "2 s", "For a change to be in force everywhere.", 100, 600000},
     {"bounds", "drain", SettingType::Interval, "2 s", "That a leaving target may still get work.", 100, 600000},
     {"ready", "endpoint", SettingType::Text, "127.0.0.1:7101", "IP number and port that readiness is asked at."},
@@ -112,6 +132,18 @@
     return out;
 }
 
+/// Reads one endpoint into an address and a port.
+Result<void> readEndpoint(const Settings &settings, std::string_view section, std::string &address, uint16_t &port)
+{
+    const auto read = parseEndpoint(settings.text(section, "endpoint"));
+    if (!read) {
+        return fail(Code::BadSettings, "[" + std::string(section) + "] " + read.error().detail);
+    }
+    address = read->address;
+    port = read->port;
+    return {};
+}
+
 FollowerOptions readFollower(const Settings &settings)
 {
     FollowerOptions out;
@@ -120,19 +152,38 @@
     out.pollWait = shareOf(bound, PollWaitShareOfBound);
     out.registry.lapseHold = settings.interval("store", "lapse-hold");
     out.registry.massHold = shareOf(settings.interval("bounds", "drain"), MassHoldShareOfDrain);
+    out.seedGather = shareOf(bound, SeedGatherShareOfBound);
+    out.seedPollWait = shareOf(bound, SeedPollWaitShareOfBound);
+    out.followerBackoff = {shareOf(bound, LeastBackoffShareOfBound), shareOf(bound, MostBackoffShareOfBound)};
+    out.changeLog.keep = shareOf(bound, KeepShareOfBound);
+    out.sources.own = settings.text("nodes", "endpoint");
+    if (!out.sources.own.empty()) {
+        out.sources.seeds = settings.list("nodes", "seeds");
+    }
+    out.sources.beat = shareOf(bound, BeatShareOfBound);
+    out.sources.patience = shareOf(bound, PatienceShareOfBound);
+    out.sources.retry = shareOf(bound, RetryShareOfBound);
+    out.sources.scan = shareOf(bound, ScanShareOfBound);
+    out.sources.staleAfter = shareOf(bound, StaleShareOfBound);
+    out.sources.seedStaleAfter = shareOf(bound, SeedStaleShareOfBound);
     return out;
 }
 
-/// Reads one endpoint into an address and a port.
-Result<void> readEndpoint(const Settings &settings, std::string_view section, std::string &address, uint16_t &port)
+/// After readFollower().
+Result<void> readNeighbours(const Settings &settings, NodeOptions &out)
 {
-    const auto read = parseEndpoint(settings.text(section, "endpoint"));
-    if (!read) {
-        return fail(Code::BadSettings, "[" + std::string(section) + "] " + read.error().detail);
+    const SourceOptions &sources = out.follower.sources;
+    out.neighbours.instance = out.instance;
+    out.neighbours.seeds = sources.seeds;
+    out.neighbours.linkBytes = static_cast<size_t>(settings.fraction("instance", "link") * BytesOfMegabit);
+    out.neighbours.forgetAfter = sources.patience + sources.beat;
+    for (const std::string &it : sources.seeds) {
+        if (const auto read = parseEndpoint(it); !read) {
+            return fail(Code::BadSettings, "[nodes] seeds: " + read.error().detail);
+        }
     }
-    address = read->address;
-    port = read->port;
-    return {};
+    return sources.own.empty() ? Result<void>()
+                               : readEndpoint(settings, "nodes", out.neighbours.address, out.neighbours.port);
 }
 
 Result<void> readEndpoints(const Settings &settings, NodeOptions &out)
@@ -140,7 +191,8 @@
     return readEndpoint(settings, "front", out.front.address, out.front.port)
         .and_then([&] { return readEndpoint(settings, "ready", out.readiness.address, out.readiness.port); })
         .and_then([&] { return readEndpoint(settings, "operate", out.operate.address, out.operate.port); })
-        .and_then([&] { return readEndpoint(settings, "store", out.store.address, out.store.port); });
+        .and_then([&] { return readEndpoint(settings, "store", out.store.address, out.store.port); })
+        .and_then([&] { return readNeighbours(settings, out); });
 }
 
 } // namespace
--- a/src/programs/damask-node/node_options.h
+++ b/src/programs/damask-node/node_options.h
@@ -5,6 +5,7 @@
 #include "follow/follower.h"
 #include "front/server.h"
 #include "operate/server.h"
+#include "programs/damask-node/neighbours.h"
 #include "route/balancer.h"
 #include "route/dispatcher.h"
 #include "route/look.h"
@@ -28,6 +29,7 @@
     DispatcherOptions dispatcher;       // the life of a call
     StoreOptions      store;            // the platform's store
     FollowerOptions   follower;         // what is followed in it
+    NeighbourOptions  neighbours;       // other nodes
     double            retryRatio = 0.1; // retries for each call of a service, of all nodes together
     Duration          retryWindow{0};   // every span of this length keeps to the ratio
     Duration          queueWait{0};     // for a slot, at most
--- a/src/wire/message.cpp
+++ b/src/wire/message.cpp
@@ -12,6 +12,7 @@
 
 constexpr uint32_t EnvelopeFormat = 1;
 constexpr uint64_t MaxAgeMicroseconds = 24ULL * 3600 * 1000 * 1000;
+constexpr uint32_t MaxHops = 1000; // of news; a chain of nodes is far shorter
 
 uint64_t microseconds(Duration duration)
 {
@@ -82,6 +83,31 @@
     }
 }
 
+void write(const FollowRequest &from, pb::Envelope &to)
+{
+    to.mutable_follow()->set_number(from.number);
+    to.mutable_follow()->set_revision(from.revision);
+    to.mutable_follow()->set_follows(from.follows);
+}
+
+void write(const StoreNews &from, pb::Envelope &to)
+{
+    pb::StoreNews &news = *to.mutable_store_news();
+    news.set_number(from.number);
+    news.set_from(from.from);
+    news.set_revision(from.revision);
+    news.set_age_us(std::min(microseconds(from.age), MaxAgeMicroseconds));
+    news.set_hops(static_cast<uint32_t>(std::max(from.hops, 0)));
+    news.set_whole(from.whole);
+    for (const StoreChange &it : from.changes) {
+        pb::StoreChange &change = *news.add_changes();
+        change.set_key(it.key);
+        change.set_value(it.value.value_or(""));
+        change.set_removed(!it.value.has_value());
+        change.set_revision(it.revision);
+    }
+}
+
 Result<MessageBody> readOffer(const pb::ConfigurationOffer &from)
 {
     auto configuration = fromMessage(from.configuration());
@@ -163,6 +189,29 @@
     return out;
 }
 
+Result<MessageBody> readStoreNews(const pb::StoreNews &from)
+{
+    if (from.changes_size() > MaxItems || from.age_us() > MaxAgeMicroseconds || from.hops() > MaxHops) {
+        return fail(Code::BadMessage, "store_news: a field is out of range");
+    }
+    StoreNews out{.number = from.number(),
+                  .from = from.from(),
+                  .revision = from.revision(),
+                  .age = std::chrono::microseconds(from.age_us()),
+                  .hops = static_cast<int>(from.hops()),
+                  .whole = from.whole()};
+    for (const pb::StoreChange &it : from.changes()) {
+        if (const auto checked = checkText(it.key(), MaxNameBytes, "store_news.key"); !checked) {
+            return tl::make_unexpected(checked.error());
+        }
+        if (it.revision() > from.revision()) {
+            return fail(Code::BadMessage, "store_news: a change is newer than the news");
+        }
+        out.changes.push_back({it.key(), it.removed() ? std::nullopt : std::optional(it.value()), it.revision()});
+    }
+    return out;
+}
+
 Result<MessageBody> readBody(const pb::Envelope &from)
 {
     switch (from.body_case()) {
@@ -180,6 +229,10 @@
         return DocumentRequest{from.request().version()};
     case pb::Envelope::kHeartbeat:
         return readHeartbeat(from.heartbeat());
+    case pb::Envelope::kFollow:
+        return FollowRequest{from.follow().number(), from.follow().revision(), from.follow().follows()};
+    case pb::Envelope::kStoreNews:
+        return readStoreNews(from.store_news());
     case pb::Envelope::BODY_NOT_SET:
         break;
     }
--- a/src/wire/message.h
+++ b/src/wire/message.h
@@ -6,6 +6,7 @@
 
 #include "base/result.h"
 #include "control/document.h"
+#include "follow/news.h"
 #include "member/membership.h"
 #include "route/balancer.h"
 
@@ -62,8 +63,8 @@
     std::vector<MemberReport> members;
 };
 
-using MessageBody =
-    std::variant<EntryHello, ConfigurationOffer, OfferApplied, NewsBatch, DocumentCopy, DocumentRequest, Heartbeat>;
+using MessageBody = std::variant<EntryHello, ConfigurationOffer, OfferApplied, NewsBatch, DocumentCopy, DocumentRequest,
+                                 Heartbeat, FollowRequest, StoreNews>;
 
 struct Message {
     std::string sender;          // name of the instance
--- /dev/null
+++ b/tests/follow/test_change_log.cpp
@@ -0,0 +1,70 @@
+#include "follow/change_log.h"
+
+#include <criterion/criterion.h>
+
+using namespace damask;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start = TimePoint(100s);
+
+StoreChange change(std::string_view key, std::string_view value, uint64_t revision)
+{
+    return {std::string(key), std::string(value), revision};
+}
+
+} // namespace
+
+Test(change_log, gives_what_came_after_a_revision_and_of_a_key_only_the_last)
+{
+    ChangeLog log({});
+    log.restart(10);
+    const std::vector<StoreChange> first{change("a", "1", 11), change("b", "1", 12)};
+    const std::vector<StoreChange> second{change("a", "2", 15)};
+    log.record(first, 13, Start);
+    log.record(second, 15, Start);
+    cr_assert(log.revision() == 15);
+    const auto all = log.since(10, 1000);
+    cr_assert(all && all->size() == 2);
+    cr_assert((*all)[0].key == "b" && (*all)[1].key == "a" && (*all)[1].value == "2");
+    cr_assert(log.since(12, 1000)->size() == 1);
+    cr_assert(log.since(15, 1000)->empty());
+}
+
+Test(change_log, says_when_it_no_longer_knows)
+{
+    ChangeLog log({.keep = 5s});
+    log.restart(10);
+    cr_assert(!log.since(9, 1000), "before the list that was read");
+    const std::vector<StoreChange> first{change("a", "1", 11)};
+    const std::vector<StoreChange> second{change("b", "1", 12)};
+    log.record(first, 11, Start);
+    log.record(second, 12, Start + 6s);
+    cr_assert(!log.since(10, 1000), "the change of a was forgotten");
+    cr_assert(log.since(11, 1000)->size() == 1);
+}
+
+Test(change_log, does_not_carry_more_than_asked_nor_hold_more_than_its_bound)
+{
+    ChangeLog log({.keep = 5s, .mostBytes = 300});
+    log.restart(1);
+    const std::vector<StoreChange> large{change("a", std::string(200, 'x'), 2)};
+    log.record(large, 2, Start);
+    cr_assert(!log.since(1, 100));
+    cr_assert(log.since(1, 201)->size() == 1);
+    const std::vector<StoreChange> other{change("b", std::string(200, 'x'), 3)};
+    log.record(other, 3, Start);
+    cr_assert(!log.since(1, 1000), "the first was dropped for the bytes of the second");
+    cr_assert(log.since(2, 1000)->size() == 1);
+}
+
+Test(change_log, passes_over_what_it_heard_before)
+{
+    ChangeLog log({});
+    log.restart(1);
+    const std::vector<StoreChange> once{change("a", "1", 2), change("a", "2", 3)};
+    log.record(once, 3, Start);
+    log.record(once, 3, Start);
+    cr_assert(log.since(1, 1000)->size() == 1 && log.since(1, 1000)->front().value == "2");
+}
