--- a/src/programs/damask-node/node.cpp
+++ b/src/programs/damask-node/node.cpp
@@ -307,17 +307,17 @@
     Thread limit("stop-limit", [&state, latest = asked + state.options.grace - spare] { state.limitStop(latest); });
     state.waitNotice(asked + state.options.leaveNotice);
     state.front.stop();
+    state.follower.stop();
+    state.neighbours.stop();
+    state.readyServer.stop();
+    state.operate.stop();
     {
         LockGuard lock(state.stopMutex);
         state.stopped = true;
         state.stopChanged.notifyAll();
     }
     limit.join();
-    state.follower.stop();
-    state.neighbours.stop();
     state.tidier.join();
-    state.readyServer.stop();
-    state.operate.stop();
     logEvent(Severity::Info, "node-stopped", {{"tookMs", toMilliseconds(state.clock.now() - asked)}});
 }
 
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -25,8 +25,8 @@
 constexpr double ScanShareOfBound = 5;            // between two requests to seeds that are not followed
 constexpr double StaleShareOfBound = 0.55;        // age of news at which a node asks the store
 constexpr double SeedStaleShareOfBound = 0.45;    // the same for a seed, so that it knows before its followers ask
-constexpr double LeastBackoffShareOfBound = 0.25; // of a node that can follow seeds, while the store is away
-constexpr double MostBackoffShareOfBound = 0.75;
+constexpr double LeastBackoffShareOfBound = 0.5; // of a node that can follow seeds, which ask for it more often
+constexpr double MostBackoffShareOfBound = 1;
 constexpr double KeepShareOfBound = 2.5; // for changes to be told on, well over the age of any news
 constexpr double BytesOfMegabit = 125000;
 
--- /dev/null
+++ b/tests/soak/store.py
@@ -0,0 +1,101 @@
+"""The platform's metadata store as far as nodes use it: ranges and watches, with trouble of each kind."""
+
+import asyncio
+import base64
+import json
+import time
+from urllib.parse import parse_qs, urlsplit
+
+from http_text import message, read_head, reset
+
+WELL, BUSY, MANY, RESET, SILENT = "well", "busy", "many", "reset", "silent"
+STATUS = {BUSY: "503 Service Unavailable", MANY: "429 Too Many Requests"}
+PAGE = 500
+
+
+class Store:
+    def __init__(self, port):
+        self.port = port
+        self.items, self.events = {}, []  # key: (value, revision); (revision, key, value or None)
+        self.revision, self.oldest = 1, 0
+        self.mood, self.troubled_at = WELL, 0.0
+        self.calls = 0
+        self.changed = asyncio.Condition()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        return self
+
+    def become(self, mood):
+        self.mood, self.troubled_at = mood, time.monotonic()
+
+    def drop_history(self):
+        self.events, self.oldest, self.troubled_at = [], self.revision, time.monotonic()
+
+    async def put(self, key, value):
+        """A value, or None to remove it; the store has taken it when this returns."""
+        async with self.changed:
+            self.revision += 1
+            if value is None:
+                self.items.pop(key, None)
+            else:
+                self.items[key] = (value, self.revision)
+            self.events.append((self.revision, key, value))
+            self.changed.notify_all()
+
+    @staticmethod
+    def item(key, value, revision):
+        if value is None:
+            return {"key": key, "revision": revision, "tombstone": True}
+        return {"key": key, "revision": revision, "value": base64.b64encode(value).decode(), "lease": 0}
+
+    def range(self, prefix, after):
+        keys = sorted(it for it in self.items if it.startswith(prefix) and it > after)
+        return {"items": [self.item(it, *self.items[it]) for it in keys[:PAGE]], "morePages": len(keys) > PAGE,
+                "asOf": self.revision}
+
+    async def watch(self, after, wait):
+        """None when the history no longer reaches back."""
+        until = time.monotonic() + wait
+        async with self.changed:
+            while self.mood == WELL and self.revision <= after and (left := until - time.monotonic()) > 0:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), min(left, 0.1))
+                except asyncio.TimeoutError:
+                    pass
+            if after < self.oldest:
+                return None
+            return {"events": [self.item(key, value, it) for it, key, value in self.events if it > after],
+                    "asOf": self.revision}
+
+    async def serve(self, reader, writer):
+        try:
+            while head := await read_head(reader):
+                if not await self.answer(head[0].split(" ")[1], writer):
+                    break
+            writer.close()
+        except (OSError, asyncio.IncompleteReadError):
+            reset(writer)
+
+    async def answer(self, target, writer):
+        self.calls += 1
+        url = urlsplit(target)
+        query = {key: it[0] for key, it in parse_qs(url.query, keep_blank_values=True).items()}
+        body, status = None, "200 OK"
+        if self.mood == WELL:
+            if url.path == "/-/kv-range":
+                body = self.range(query["prefix"], query.get("after", ""))
+            else:
+                body = await self.watch(int(query["after"]), int(query["waitMs"]) / 1000)
+                status = "200 OK" if body else "410 Gone"
+        if self.mood == RESET:
+            reset(writer)
+            return False
+        if self.mood == SILENT:
+            await asyncio.sleep(60)
+            return False
+        if self.mood in STATUS:
+            body, status = None, STATUS[self.mood]
+        writer.write(message(f"HTTP/1.1 {status}", {"Content-Type": "application/json"}, json.dumps(body or {}).encode()))
+        await writer.drain()
+        return True
