Tell ejections, returns and readiness, and time calls and attempts

Cause: logs did not say when a target got no more work or when the readiness check changed its answer, lines that the log lost were counted and told nowhere, and the metrics address had no latency histograms. Change: a hook of the balancer tells each ejection and return once; damask_call_seconds and damask_attempt_seconds by outcome; damask_log_lines_lost. Test: balancer_faults::each_ejection_and_each_return_is_told_once. A second signal is now sent to a node that stops, and only the first call waits.

--- a/src/operate/routes.cpp
+++ b/src/operate/routes.cpp
@@ -1,5 +1,7 @@
 #include "operate/routes.h"
 
+#include "base/log.h"
+
 #include <utility>
 
 namespace damask {
@@ -23,6 +25,7 @@
     server.route(
         "GET", "/metrics",
         [&metrics](const OperateRequest &) {
+            metrics.gauge("damask_log_lines_lost").Set(static_cast<double>(lostLogLines()));
             return OperateResponse{200, "text/plain; version=0.0.4", metrics.text()};
         },
         Open);
--- a/src/programs/damask-node/node.cpp
+++ b/src/programs/damask-node/node.cpp
@@ -25,6 +25,8 @@
     FollowerOptions followerOptions() const;
     WatchedConfiguration readConfiguration(WatchedConfiguration read) const;
     Result<void> readiness() const;
+    OperateResponse answerReadiness();
+    void tellHealth(const HealthChange &change);
     std::string status() const;
     void tidy();
     void limitStop(TimePoint latest);
@@ -36,6 +38,7 @@
     NodeForm form;
     std::atomic<bool> leaving{false};
     std::atomic<bool> configured{false};
+    std::atomic<bool> saidReady{false}; // the last answer about readiness
 
     RankedMutex stopMutex{LockRank::Program};
     Condition stopChanged; // wakes the tidying thread, and the one that limits a stop
@@ -61,7 +64,11 @@
     , form(std::move(f))
     , stopChanged(c)
     , sender(c, m, o.sender, form.target)
-    , balancer(c, m, o.balancer)
+    , balancer(c, m, o.balancer,
+               {.healthChanged =
+                    [this](const HealthChange &change) {
+                        tellHealth(change);
+                    }})
     , look(c, o.look,
            {.promising = [this](const AcquireRequest &request,
                                 size_t most) { return balancer.promising(request, most); },
@@ -199,6 +206,24 @@
     return configured ? Result<void>() : fail(Code::NoConfiguration, "no configuration has been read yet");
 }
 
+OperateResponse Node::State::answerReadiness()
+{
+    const auto n = readiness();
+    if (saidReady.exchange(n.has_value()) != n.has_value()) {
+        logEvent(Severity::Info, "readiness-changed",
+                 {{"ready", n.has_value()}, {"reason", n ? std::string_view("configured") : codeName(n.error().code)}});
+    }
+    return n ? OperateResponse{200, "text/plain", "ready\n"} : operateError(503, n.error());
+}
+
+void Node::State::tellHealth(const HealthChange &change)
+{
+    metrics.count("damask_target_health_changes_total",
+                  {{"change", change.out ? "out" : "in"}, {"reason", change.reason}});
+    logEvent(Severity::Info, change.out ? "target-ejected" : "target-returned",
+             {{"target", change.target}, {"failing", change.failing}, {"reason", change.reason}});
+}
+
 std::string Node::State::status() const
 {
     const FollowStatus n = follower.status();
@@ -264,11 +289,8 @@
 Result<void> Node::start()
 {
     State &state = *m_state;
-    const auto ready = [&state](const OperateRequest &) {
-        const auto n = state.readiness();
-        return n ? OperateResponse{200, "text/plain", "ready\n"} : operateError(503, n.error());
-    };
-    state.readyServer.route("GET", state.form.readyPath, ready, true);
+    state.readyServer.route(
+        "GET", state.form.readyPath, [&state](const OperateRequest &) { return state.answerReadiness(); }, true);
     addStandardRoutes(state.operate, state.metrics,
                       {.ready = [&state] { return state.readiness(); },
                        .status =
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -17,14 +17,14 @@
 
 // Shares of the time that a change has to be in force, of what is known from other nodes. What a node knows is at most
 // staleAfter old before it asks the store, and MassHoldShareOfDrain comes on top of it.
-constexpr double SeedGatherShareOfBound = 0.1;    // between two polls of a seed: the news of all others rest on it
-constexpr double SeedPollWaitShareOfBound = 0.2;  // for a change
-constexpr double BeatShareOfBound = 0.1;          // between two requests to the seed that is followed
-constexpr double PatienceShareOfBound = 0.4;      // for an answer
-constexpr double RetryShareOfBound = 0.75;        // between two requests to a seed that gives no answer
-constexpr double ScanShareOfBound = 5;            // between two requests to seeds that are not followed
-constexpr double StaleShareOfBound = 0.55;        // age of news at which a node asks the store
-constexpr double SeedStaleShareOfBound = 0.45;    // the same for a seed, so that it knows before its followers ask
+constexpr double SeedGatherShareOfBound = 0.1;   // between two polls of a seed: the news of all others rest on it
+constexpr double SeedPollWaitShareOfBound = 0.2; // for a change
+constexpr double BeatShareOfBound = 0.1;         // between two requests to the seed that is followed
+constexpr double PatienceShareOfBound = 0.4;     // for an answer
+constexpr double RetryShareOfBound = 0.75;       // between two requests to a seed that gives no answer
+constexpr double ScanShareOfBound = 5;           // between two requests to seeds that are not followed
+constexpr double StaleShareOfBound = 0.55;       // age of news at which a node asks the store
+constexpr double SeedStaleShareOfBound = 0.45;   // the same for a seed, so that it knows before its followers ask
 constexpr double LeastBackoffShareOfBound = 0.5; // of a node that can follow seeds, which ask for it more often
 constexpr double MostBackoffShareOfBound = 1;
 constexpr double KeepShareOfBound = 2.5; // for changes to be told on, well over the age of any news
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -122,10 +122,19 @@
     Duration    otherRegionCost{0}; // that a target in another region has to save, beside the way there
 };
 
+/// A target got no more work because it failed, or gets work again.
+struct HealthChange {
+    std::string_view target;      // "pool/target"
+    bool             out = false; // true: ejected now
+    float            failing = 0; // 0 to 1: share of its last answers that failed
+    std::string_view reason;      // what made the difference: "answer", "failure", "question"
+};
+
 /// What varies: the policy and the random source.
 struct BalancerHooks {
-    PickPolicy   pick;   // default: damaskPolicy()
-    RandomSource random; // default: systemRandom(); safe from all threads
+    PickPolicy                                pick;          // default: damaskPolicy()
+    RandomSource                              random;        // default: systemRandom(); safe from all threads
+    std::function<void(const HealthChange &)> healthChanged; // under a lock: it must not call back; default: none
     std::function<void(std::string_view target, TargetView &view)> truth; // benches of the oracle only; default: none
 };
 
--- a/src/route/dispatcher.cpp
+++ b/src/route/dispatcher.cpp
@@ -181,7 +181,7 @@
                                     .idempotent = call.idempotent,
                                     .cancel = &cancel});
     hooks.finish(permit, {.end = out.end, .code = out.code, .load = out.load, .status = out.answer.status});
-    counters.attempt(out.end);
+    counters.attempt(out.end, out.elapsed);
     return out;
 }
 
@@ -296,7 +296,7 @@
     const Code code = m_state->admit(call);
     Answer out = code == Code::Ok ? m_state->run(call, cancel) : answerFor(code);
     m_state->sayWhenToComeBack(call, out);
-    m_state->counters.call(out);
+    m_state->counters.call(out, m_state->clock.now() - request.arrivedAt);
     m_state->keep(call, out);
     return out;
 }
--- a/src/route/dispatcher_hedge.cpp
+++ b/src/route/dispatcher_hedge.cpp
@@ -89,7 +89,7 @@
                                        .cancel = &race.second()});
     hooks.finish(*permit,
                  {.end = result.end, .code = result.code, .load = result.load, .status = result.answer.status});
-    counters.attempt(result.end);
+    counters.attempt(result.end, result.elapsed);
     if (!race.end(HedgeResult{std::move(result), permit->address->name, permit->waited})) {
         counters.hedge(HedgeEnd::Lost);
     }
--- a/src/route/dispatcher_metrics.cpp
+++ b/src/route/dispatcher_metrics.cpp
@@ -20,9 +20,11 @@
 {
     for (const Outcome it : {Outcome::Answered, Outcome::NotRun, Outcome::Unknown}) {
         m_calls[position(it)] = &metrics.counter("damask_calls_total", {{"outcome", outcomeName(it)}});
+        m_callSeconds[position(it)] = &metrics.histogram("damask_call_seconds", {{"outcome", outcomeName(it)}});
     }
     for (size_t n = 0; n < AttemptEnds.size(); ++n) {
         m_attempts[n] = &metrics.counter("damask_attempts_total", {{"end", AttemptEnds[n]}});
+        m_attemptSeconds[n] = &metrics.histogram("damask_attempt_seconds", {{"end", AttemptEnds[n]}});
     }
     for (auto it = RetryReason::NotSent; it <= RetryReason::Failed; it = RetryReason(position(it) + 1)) {
         m_retries[position(it)] = &metrics.counter("damask_retries_total", {{"reason", retryReasonName(it)}});
@@ -40,18 +42,20 @@
     }
 }
 
-void DispatcherMetrics::call(const Answer &answer)
+void DispatcherMetrics::call(const Answer &answer, Duration took)
 {
     m_calls[position(answer.outcome)]->Increment();
+    m_callSeconds[position(answer.outcome)]->Observe(toSeconds(took));
     const auto it = m_codes.find(answer.code);
     if (it != m_codes.end()) {
         it->second->Increment();
     }
 }
 
-void DispatcherMetrics::attempt(AttemptEnd end)
+void DispatcherMetrics::attempt(AttemptEnd end, Duration took)
 {
     m_attempts[position(end)]->Increment();
+    m_attemptSeconds[position(end)]->Observe(toSeconds(took));
 }
 
 void DispatcherMetrics::retry(RetryReason reason)
--- a/src/route/dispatcher_metrics.h
+++ b/src/route/dispatcher_metrics.h
@@ -26,18 +26,22 @@
 public:
     explicit DispatcherMetrics(Metrics &metrics);
 
-    void call(const Answer &answer); // once for each call
-    void attempt(AttemptEnd end);    // once for each attempt
-    void retry(RetryReason reason);  // once for each retry
-    void denied(RetryDenial denial); // once for each failure that is not retried
-    void hedge(HedgeEnd end);        // once for each hedge wished for
-    void lineLeftOut();              // once for each log line on a call that was left out
+    void call(const Answer &answer, Duration took); // once for each call
+    void attempt(AttemptEnd end, Duration took);    // once for each attempt
+    void retry(RetryReason reason);                 // once for each retry
+    void denied(RetryDenial denial);                // once for each failure that is not retried
+    void hedge(HedgeEnd end);                       // once for each hedge wished for
+    void lineLeftOut();                             // once for each log line on a call that was left out
 
 private:
     static constexpr size_t MaxLabels = 8;
     using Counters = std::array<prometheus::Counter *, MaxLabels>;
 
+    using Histograms = std::array<prometheus::Histogram *, MaxLabels>;
+
     Counters                                        m_calls{};
+    Histograms                                      m_callSeconds{};
+    Histograms                                      m_attemptSeconds{};
     Counters                                        m_attempts{};
     Counters                                        m_retries{};
     Counters                                        m_denials{};
--- a/src/route/service_learn.cpp
+++ b/src/route/service_learn.cpp
@@ -72,7 +72,7 @@
         m_heardAt = now;
         m_credit = overFull(entry, report) ? 0 : 1;
         if (report.status >= FirstServerError) {
-            learnFailure(entry, now);
+            learnFailure(entry, now, "failure");
         } else {
             learnAnswer(entry, permit, now);
         }
@@ -82,7 +82,7 @@
             entry.load.refused(entry.target.slots);
         }
         if (room && !entry.reportsDrain) {
-            learnFailure(entry, now);
+            learnFailure(entry, now, "failure");
         } else {
             entry.health.trialEnded();
         }
@@ -92,7 +92,7 @@
         if (report.code == Code::Cancelled || report.code == Code::TargetShares) {
             entry.health.trialEnded();
         } else {
-            learnFailure(entry, now);
+            learnFailure(entry, now, "failure");
         }
         break;
     }
@@ -111,12 +111,23 @@
     m_fleetTime = m_fleetTime == 0 ? sample : m_fleetTime + FleetWeight * (sample - m_fleetTime);
     entry.load.answered(fromMilliseconds(sample));
     entry.load.succeeded(entry.target.slots);
+    learnGood(entry, now, "answer");
+}
+
+void ServiceTable::learnGood(TargetEntry &entry, TimePoint now, std::string_view reason)
+{
     const bool wasOut = entry.health.ejected();
     entry.health.good(now);
-    m_ejected -= wasOut && !entry.health.ejected() ? 1 : 0;
+    if (!wasOut || entry.health.ejected()) {
+        return;
+    }
+    --m_ejected;
+    if (m_hooks.healthChanged) {
+        m_hooks.healthChanged({entry.address->name, false, entry.health.failing(), reason});
+    }
 }
 
-void ServiceTable::learnFailure(TargetEntry &entry, TimePoint now)
+void ServiceTable::learnFailure(TargetEntry &entry, TimePoint now, std::string_view reason)
 {
     const bool wasOut = entry.health.ejected();
     if (!entry.health.bad()) {
@@ -127,6 +138,9 @@
     }
     entry.health.eject(now);
     m_ejected += wasOut ? 0 : 1;
+    if (!wasOut && m_hooks.healthChanged) {
+        m_hooks.healthChanged({entry.address->name, true, entry.health.failing(), reason});
+    }
     DAMASK_ASSERT(m_ejected * LeastShareIn <= m_configured || wasOut, "a third of the targets is out at most");
 }
 
@@ -163,7 +177,7 @@
     }
     if (news.silent) {
         entry->silentUntil = now + SilentHolds;
-        learnFailure(*entry, now);
+        learnFailure(*entry, now, "question");
         return;
     }
     if (news.asked) {
@@ -186,8 +200,7 @@
     if (news.report.unwell || entry.health.state(now) != TargetHealth::State::Trial) {
         return;
     }
-    entry.health.good(now);
-    m_ejected -= entry.health.ejected() ? 0 : 1;
+    learnGood(entry, now, "question");
 }
 
 void ServiceTable::appendNews(TimePoint now, std::vector<LoadNews> &news) const
--- a/src/route/service_table.h
+++ b/src/route/service_table.h
@@ -95,7 +95,8 @@
     void         learn(TargetEntry &entry, const Permit &permit, const PermitReport &report, TimePoint now);
     void         learnAnswer(TargetEntry &entry, const Permit &permit, TimePoint now);
     void         learnAsked(TargetEntry &entry, const LoadNews &news, TimePoint now);
-    void         learnFailure(TargetEntry &entry, TimePoint now);
+    void         learnFailure(TargetEntry &entry, TimePoint now, std::string_view reason);
+    void         learnGood(TargetEntry &entry, TimePoint now, std::string_view reason);
     void         learnReport(TargetEntry &entry, const LoadReport &report, TimePoint takenAt);
     TargetEntry *find(std::string_view name);
 
--- a/tests/soak/node_soak.py
+++ b/tests/soak/node_soak.py
@@ -29,7 +29,7 @@
         self.front, self.ready, self.operate, self.control = (bench.port() for _ in range(4))
         self.store_link = proxy.Proxy(bench.port(), soak.store.port)
         self.incarnation, self.troubled_at, self.planned_at = 0, 0.0, 0.0
-        self.misses, self.paused, self.process = 0, False, None
+        self.misses, self.paused, self.stopping, self.process = 0, False, False, None
 
     def settings(self, soak):
         seeds = [f"127.0.0.1:{it.control if it is self else soak.seed_links[n].port}"
@@ -256,9 +256,12 @@
         node = self.draw.choice(self.nodes)
         if not node.process.alive() or node.paused:
             return
-        self.note(f"{node.name} is stopped and started")
+        self.note(f"{node.name} is stopped{' again' if node.stopping else ' and started'}")
         node.planned_at = time.monotonic()
         node.send(signal.SIGTERM)
+        if node.stopping:
+            return  # a second signal while it stops; the first call waits for its end
+        node.stopping = True
         ended = await asyncio.to_thread(self.wait_end, node)
         if ended is None and time.monotonic() - node.troubled_at > GRACE_S + CALM_S:
             self.record.fail("grace", f"{node.name} had to be killed {GRACE_S} s after its stop signal")
@@ -266,6 +269,7 @@
         node.planned_at = time.monotonic()
         if not node.process.alive() and not self.over:
             node.process.start()
+        node.stopping = False
 
     @staticmethod
     def wait_end(node):
