Keep a tenth of the retry ratio for what a node can't tell apart

Workers of one service shed 55% for 8.5 s right after a burst, so that every node used its whole ratio. Ruled out: sends again inside the sender (there are none), windows of the budget that are longer than said (calls are counted over less than the window, retries over more). Change: a node uses 0.9 of the ratio.

--- a/src/programs/damask-node/node_options.h
+++ b/src/programs/damask-node/node_options.h
@@ -17,6 +17,10 @@
 
 namespace damask {
 
+/// Of the ratio of retries that all nodes may use together. The rest is for what a node can't tell apart from callers'
+/// requests, such as checks of which routes are in force, and for windows that begin elsewhere than its own.
+constexpr double RetryShareUsed = 0.9;
+
 /// Everything that a node is told at its start.
 struct NodeOptions {
     std::string       instance;         // name of this instance
