front: park a connection and set its deadline under one lock

Cause: parkForReading(), flush() and linger() set the timer first and the phase later. A deadline that expired in between was dropped by onExpired(), which ignores connections in phase Serving, and nothing set it again: an idle connection stayed open, and a caller that does not read its response held its connection, and stop(), for ever. Ruled out: setting the timer after parking (the poller may already have set a newer one, which the late call replaces); marking an expiry seen while Serving (the same race against the next cycle). Change: park() takes the deadline and sets it with the phase under the table's lock; the timer's lock gets its own rank.

--- a/src/base/lock.h
+++ b/src/base/lock.h
@@ -17,6 +17,7 @@
     Program = 10,       // program start and stop
     Server = 20,        // connection tables (front, operate)
     Attempt = 25,       // cancelling one attempt of a call
+    Timer = 27,         // deadlines of connections (front)
     Control = 30,       // tickets, membership, traffic between keepers
     Configuration = 40, // the configuration in force
     Route = 50,         // load tables, queues, budgets
--- a/src/front/deadline_timer.h
+++ b/src/front/deadline_timer.h
@@ -33,7 +33,7 @@
 
     Clock                                  &m_clock;
     std::function<void()>                   m_expired;
-    RankedMutex                             m_mutex{LockRank::Server};
+    RankedMutex                             m_mutex{LockRank::Timer};
     Condition                               m_changed;
     std::set<Entry>                         m_entries;
     std::unordered_map<uint64_t, TimePoint> m_deadlines;
--- a/src/front/drive.cpp
+++ b/src/front/drive.cpp
@@ -53,11 +53,9 @@
         it->sent += transfer.bytes;
         moved = moved || transfer.bytes > 0;
         if (transfer.end == TransferEnd::WouldBlock) {
-            if (moved || it->deadline == Never) {
-                setDeadline(*it, clock.now() + options.writeTimeout);
-            }
+            const bool restart = moved || it->deadline == Never;
             updateBufferedBytes(*it);
-            park(it, Phase::Writing, EPOLLOUT);
+            park(it, Phase::Writing, EPOLLOUT, restart ? clock.now() + options.writeTimeout : it->deadline);
             return false;
         }
     }
@@ -71,26 +69,25 @@
 void FrontServer::State::linger(const CallerPtr &it)
 {
     ::shutdown(it->socket.get(), SHUT_WR);
-    setDeadline(*it, clock.now() + LingerTimeout);
-    park(it, Phase::Lingering, EPOLLIN | EPOLLRDHUP);
+    park(it, Phase::Lingering, EPOLLIN | EPOLLRDHUP, clock.now() + LingerTimeout);
 }
 
 void FrontServer::State::parkForReading(const CallerPtr &it)
 {
-    if (it->reader.idle()) {
+    const bool idle = it->reader.idle();
+    if (idle) {
         it->firstByteAt = Never;
         it->idleSince = clock.now();
-        setDeadline(*it, idleEnd(*it));
-    } else {
-        setDeadline(*it, readDeadline(*it));
     }
-    if (!park(it, Phase::Reading, EPOLLIN | EPOLLRDHUP)) {
+    if (!park(it, Phase::Reading, EPOLLIN | EPOLLRDHUP, idle ? idleEnd(*it) : readDeadline(*it))) {
         linger(it);
     }
 }
 
-/// Hands the connection to the poller until one of the events occurs. False if it is idle while the front is stopping.
-bool FrontServer::State::park(const CallerPtr &it, Phase phase, uint32_t interest)
+/// Hands the connection to the poller until one of the events occurs or the deadline passes. False if it is idle while
+/// the front is stopping. Phase and deadline change under one lock: the poller ignores the expiry of a connection in
+/// phase Serving, so a deadline that was set earlier could expire unnoticed.
+bool FrontServer::State::park(const CallerPtr &it, Phase phase, uint32_t interest, TimePoint deadline)
 {
     LockGuard lock(mutex);
     const bool idle = phase == Phase::Reading && it->reader.idle();
@@ -99,6 +96,7 @@
     }
     it->phase = phase;
     it->cancel = nullptr;
+    setDeadline(*it, deadline);
     events.arm(it->socket.get(), it->id, interest);
     return true;
 }
--- a/src/front/poller.cpp
+++ b/src/front/poller.cpp
@@ -177,7 +177,7 @@
         close(it);
         return;
     }
-    park(it, Phase::Lingering, EPOLLIN | EPOLLRDHUP);
+    park(it, Phase::Lingering, EPOLLIN | EPOLLRDHUP, it->deadline);
 }
 
 void FrontServer::State::acceptAll()
--- a/src/front/state.h
+++ b/src/front/state.h
@@ -39,7 +39,7 @@
     bool             flush(const CallerPtr &it); // sends out; false if it had to park or close the connection
     void             linger(const CallerPtr &it);
     void             parkForReading(const CallerPtr &it);
-    bool             park(const CallerPtr &it, Phase phase, uint32_t events);
+    bool             park(const CallerPtr &it, Phase phase, uint32_t events, TimePoint deadline);
     void             close(const CallerPtr &it);
     TimePoint        idleEnd(const CallerConnection &it) const;
     TimePoint        readDeadline(const CallerConnection &it) const;
--- a/tests/front/test_limits.cpp
+++ b/tests/front/test_limits.cpp
@@ -1,6 +1,9 @@
 #include "fakes/eventually.h"
 #include "front/running_front.h"
 
+#include "base/thread.h"
+
+#include <atomic>
 #include <memory>
 #include <vector>
 
@@ -196,3 +199,24 @@
     }));
     cr_assert(first.closedByPeer());
 }
+
+Test(limits, a_deadline_that_expires_while_its_connection_is_being_parked_still_closes_it)
+{
+    RunningFront it;
+    it.front.setLimits({}, 1ns, 10s);
+    std::atomic<bool> done{false};
+    std::vector<Thread> contenders; // for the lock of the connection table, which parking takes
+    for (int n = 0; n < 4; ++n) {
+        contenders.emplace_back("contender", [&] {
+            while (!done) {
+                (void)it.front.status();
+            }
+        });
+    }
+    const ScopeGuard stop([&] { done = true; });
+    for (int n = 0; n < 200; ++n) {
+        RawCaller caller = it.caller();
+        cr_assert(caller.ask(getRequest("/")).status == 200);
+        cr_assert(caller.closedByPeer(), "connection %d stays open", n);
+    }
+}
