platform: serve uploads, and leave out one odd part instead of the whole

Cause: readConfiguration() refused a whole configuration for one rule whose kind it did not know, so that the further sites, which have routes of kind upload, were refused every request. The same held for any odd member of a rule, service or limit. One item of a list or watch whose key, revision or base64 could not be read failed the whole reply, and as the same poll returned it again, the node stopped following the store. A worker's entry of deeply nested JSON overflowed the 512 KB stack of the reading thread (a trial program with the library alone ends with SIGSEGV at 1,000,000 levels). Change: a rule of an unknown kind or destination stays in place as unusable (RuleUnusable, 503, not run), so that no shorter prefix takes over its requests; other odd members fall back to the most cautious value; parts that can't be placed are left out; each is named in configuration-part-refused (8 lines a version) and counted. Items of the store without a key are left out and counted, unreadable values name no worker. Ruled out: dropping the rule (its requests would match a shorter prefix and run at another service). Uploads are still gathered before they are passed on.

--- a/src/base/result.h
+++ b/src/base/result.h
@@ -34,6 +34,8 @@
     EntryBusy = 114,
     EntryPaused = 115,
     TargetReplaced = 116,
+    RuleUnusable = 117,
+    TargetsPushBack = 118,
 
     // 2xx: the call may have run ("unknown"), or its response was unusable
     AnswerTimeout = 201,
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -9,6 +9,12 @@
 
 namespace damask {
 
+namespace {
+
+constexpr size_t MaxPartLines = 8; // log lines for the refused parts of one configuration
+
+} // namespace
+
 Follower::State::State(Clock &clockIn, Metrics &metricsIn, StoreClient &storeIn, const FollowerOptions &optionsIn,
                        FollowerHooks hooksIn)
     : clock(clockIn)
@@ -142,7 +148,7 @@
     const TimePoint now = clock.now();
     reachesStore = true;
     markStoreReachable(now);
-    for (const StoreChange &it : changes->changes) {
+    for (StoreChange &it : changes->changes) {
         applyChange(it);
     }
     const bool advanced = changes->revision > revision;
@@ -154,7 +160,8 @@
     return true;
 }
 
-void Follower::State::applyChange(const StoreChange &change)
+/// A target's entry that can't be decoded is emptied, so that followers get no large value that they can't use either.
+void Follower::State::applyChange(StoreChange &change)
 {
     if (change.revision <= listedRevision) {
         return;
@@ -170,7 +177,9 @@
     }
     const std::string_view id = std::string_view(change.key).substr(options.targetPrefix.size());
     if (change.value) {
-        applyTarget(id, *change.value, change.revision, nullptr);
+        if (!applyTarget(id, *change.value, change.revision, nullptr)) {
+            change.value = std::string();
+        }
     } else {
         registry.remove(id, change.revision, clock.now());
     }
@@ -198,10 +207,26 @@
     configuration = std::move(*read);
     hasConfiguration = true;
     changed = true;
+    logRefusedParts(entryRevision);
+}
+
+void Follower::State::logRefusedParts(uint64_t entryRevision)
+{
+    const std::vector<std::string> &parts = configuration.refused;
+    for (size_t n = 0; n < parts.size(); ++n) {
+        metrics.count("damask_configuration_parts_refused_total");
+        if (n < MaxPartLines) {
+            logEvent(Severity::Error, "configuration-part-refused",
+                     {{"revision", entryRevision},
+                      {"version", configuration.version},
+                      {"detail", parts[n]},
+                      {"parts", static_cast<uint64_t>(parts.size())}});
+        }
+    }
 }
 
-/// An entry that can't be decoded yields no usable target; all other targets stay in force.
-void Follower::State::applyTarget(std::string_view id, std::string_view value, uint64_t entryRevision,
+/// An entry that can't be decoded yields no usable target and returns false; all other targets stay in force.
+bool Follower::State::applyTarget(std::string_view id, std::string_view value, uint64_t entryRevision,
                                   std::vector<RegisteredTarget> *into)
 {
     auto read = hooks.readTarget(id, value);
@@ -212,7 +237,7 @@
         if (into == nullptr) {
             registry.remove(id, entryRevision, clock.now());
         }
-        return;
+        return false;
     }
     read->revision = entryRevision;
     if (into != nullptr) {
@@ -220,6 +245,7 @@
     } else {
         registry.put(*read);
     }
+    return true;
 }
 
 void Follower::State::publish()
--- a/src/follow/follower_news.cpp
+++ b/src/follow/follower_news.cpp
@@ -74,14 +74,14 @@
         LockGuard lock(mutex);
         news.swap(inbox);
     }
-    for (const StoreNews &it : news) {
+    for (StoreNews &it : news) {
         applyNews(it);
     }
 }
 
 /// An update that begins after this node's revision would leave a gap; it is ignored, and the next answer carries the
 /// missing changes.
-void Follower::State::applyNews(const StoreNews &news)
+void Follower::State::applyNews(StoreNews &news)
 {
     const auto verified = sources.handleAnswer(news, clock.now());
     if (revision == 0 || news.from > revision) {
@@ -91,7 +91,7 @@
         changesMissing = changesMissing || (verified && news.revision > revision);
         return;
     }
-    for (const StoreChange &it : news.changes) {
+    for (StoreChange &it : news.changes) {
         if (it.revision > revision) {
             applyChange(it);
         }
--- a/src/follow/follower_state.h
+++ b/src/follow/follower_state.h
@@ -21,9 +21,10 @@
     bool      readSnapshot();
     void      recordList(const StoreListing &listed, TimePoint now);
     bool      pollOnce();
-    void      applyChange(const StoreChange &change);
+    void      applyChange(StoreChange &change);
     void      applyConfiguration(std::string_view value, uint64_t entryRevision);
-    void      applyTarget(std::string_view id, std::string_view value, uint64_t entryRevision,
+    void      logRefusedParts(uint64_t entryRevision);
+    bool      applyTarget(std::string_view id, std::string_view value, uint64_t entryRevision,
                           std::vector<RegisteredTarget> *into);
     void      publish();
     void      markStoreLost(std::string_view call, const Error &error);
@@ -32,7 +33,7 @@
     Duration  nextPollTimeout();
     bool      storeIsReachable();
     void      processInbox();
-    void      applyNews(const StoreNews &news);
+    void      applyNews(StoreNews &news);
     void      sendDueRequests();
     bool      mustCallStore(TimePoint now);
     bool      pollsContinuously() const;
--- a/src/follow/watched.h
+++ b/src/follow/watched.h
@@ -27,6 +27,8 @@
     std::vector<Service> services;    // sorted by name
     std::vector<Rule>    rules;       // sorted by name
     CallerLimits         limits;
+
+    std::vector<std::string> refused; // why parts of it can't be used: the field, its value and what is allowed
 };
 
 /// A target's registration, as the target wrote it.
--- a/src/route/dispatcher.cpp
+++ b/src/route/dispatcher.cpp
@@ -107,6 +107,9 @@
         return Code::NoSuchService;
     }
     call.trace.rule.assign(call.route.rule->name);
+    if (!call.route.rule->unusable.empty()) {
+        return Code::RuleUnusable;
+    }
     if (call.route.service == nullptr) {
         return call.route.rule->service.empty() ? Code::NoRule : Code::NoSuchService;
     }
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -156,6 +156,13 @@
         return out;
     }
 
+    void countUnreadable(size_t count)
+    {
+        for (size_t n = 0; n < count; ++n) {
+            metrics.count("damask_store_bad_values_total");
+        }
+    }
+
     void recordOutcome(std::string_view name, Code code)
     {
         const bool answered = code != Code::StoreUnavailable && code != Code::StoreUnknown && code != Code::Cancelled;
@@ -172,9 +179,7 @@
             return false;
         }
         reachable = true;
-        for (size_t n = 0; n < *bad; ++n) {
-            metrics.count("damask_store_bad_values_total");
-        }
+        countUnreadable(*bad);
         return true;
     }
 };
@@ -206,6 +211,7 @@
         // The pages are not a consistent snapshot. Polling continues from the revision of the first page, which is the
         // oldest, so that no change is missed.
         out.revision = after.empty() ? page->revision : out.revision;
+        s.countUnreadable(page->unreadable);
         std::move(page->entries.begin(), page->entries.end(), std::back_inserter(out.entries));
         after = std::move(page->next);
     } while (!after.empty());
@@ -216,7 +222,9 @@
 {
     State &s = *m_state;
     DAMASK_ASSERT(s.protocol.poll, "call poll() only with a protocol that has a long poll; otherwise use watch()");
-    return s.call("poll", s.protocol.poll(prefix, after, wait), CallKind::Read, s.protocol.readPoll, wait, &cancel);
+    auto out = s.call("poll", s.protocol.poll(prefix, after, wait), CallKind::Read, s.protocol.readPoll, wait, &cancel);
+    s.countUnreadable(out ? out->unreadable : 0);
+    return out;
 }
 
 Result<uint64_t> StoreClient::swap(const StoreSwap &change)
--- a/src/store/protocol.h
+++ b/src/store/protocol.h
@@ -27,7 +27,8 @@
 struct StoreListing {
     std::vector<StoreEntry> entries;
     uint64_t                revision = 0;
-    std::string             next = {}; // if not empty, more entries follow after this key
+    std::string             next = {};      // if not empty, more entries follow after this key
+    size_t                  unreadable = 0; // items left out because they name no key
 };
 
 /// Precondition of a write: the key must still have this version. Used to prove that a lease is still held.
@@ -55,6 +56,7 @@
 struct StoreChanges {
     std::vector<StoreChange> changes;
     uint64_t                 revision = 0;
+    size_t                   unreadable = 0; // changes left out because they name no key
 };
 
 /// One change seen by a watch. No entry means that the key was deleted.
--- a/tests/fakes/fake_platform_store.h
+++ b/tests/fakes/fake_platform_store.h
@@ -69,6 +69,10 @@
     {
         change(key, std::string(value));
     }
+    void putEncoded(std::string_view key, std::string_view text) // sends the text as the value, instead of base64
+    {
+        change(key, std::string(text), true);
+    }
     void remove(std::string_view key)
     {
         change(key, std::nullopt);
@@ -95,6 +99,7 @@
         std::string                key;
         std::optional<std::string> value;
         uint64_t                   revision = 0;
+        bool                       encoded = false; // the value is sent as it is
     };
     struct Peer {
         FileDescriptor socket;
@@ -104,17 +109,17 @@
         TimePoint      until{};
     };
 
-    void change(std::string_view key, std::optional<std::string> value)
+    void change(std::string_view key, std::optional<std::string> value, bool encoded = false)
     {
         {
             LockGuard lock(m_mutex);
             ++m_revision;
             if (value) {
-                m_items[std::string(key)] = {std::string(key), value, m_revision};
+                m_items[std::string(key)] = {std::string(key), value, m_revision, encoded};
             } else {
                 m_items.erase(std::string(key));
             }
-            m_events.push_back({std::string(key), std::move(value), m_revision});
+            m_events.push_back({std::string(key), std::move(value), m_revision, encoded});
         }
         wake();
     }
@@ -244,7 +249,10 @@
     static std::string item(const Event &it)
     {
         std::string out = "{\"key\":\"" + it.key + "\",\"revision\":" + std::to_string(it.revision);
-        out += it.value ? ",\"value\":\"" + toBase64(*it.value) + "\"}" : ",\"tombstone\":true}";
+        if (!it.value) {
+            return out + ",\"tombstone\":true}";
+        }
+        out += ",\"value\":\"" + (it.encoded ? *it.value : toBase64(*it.value)) + "\"}";
         return out;
     }
     static bool reply(Peer &peer, std::string_view status, std::string_view body)
--- a/tests/platform/test_follow.cpp
+++ b/tests/platform/test_follow.cpp
@@ -127,10 +127,52 @@
     for (const char *bad : {"", "[]", "{\"service\":7}", "{\"service\":\"s1\",\"address\":\"x\"}", "\xff\xfe"}) {
         it.fake.put("servers/i-bad", bad);
     }
+    it.fake.put("servers/i-deep", std::string(500'000, '['));
+    it.fake.putEncoded("servers/i-odd", "no base64");
     it.fake.put("servers/i-2", worker("ready", 1));
     cr_assert(eventually([&] { return it.targets() == 2; }));
 }
 
+Test(follow, an_odd_entry_in_the_first_list_does_not_stop_the_node)
+{
+    FollowerFixture it;
+    it.fake.put("servers/a-deep", std::string(500'000, '{'));
+    it.fake.putEncoded("servers/b-odd", "no base64");
+    it.fake.put("servers/c-port", "{\"service\":\"s1\",\"address\":\"10.0.0.9:99999\",\"slots\":1e400}");
+    it.start();
+    it.fake.remove("servers/a-deep");
+    it.fake.put("servers/i-2", worker("ready", 1));
+    cr_assert(eventually([&] { return it.targets() == 2; }), "it follows on");
+}
+
+Test(follow, an_unreadable_entry_takes_its_target_out_until_it_is_written_again)
+{
+    FollowerFixture it;
+    it.start();
+    it.fake.put("servers/i-2", worker("ready", 1));
+    cr_assert(eventually([&] { return it.targets() == 2; }));
+    it.fake.putEncoded("servers/i-1", "no base64");
+    cr_assert(eventually([&] { return it.targets() == 1; }));
+    it.fake.put("servers/i-1", worker("ready", 3));
+    cr_assert(eventually([&] { return it.targets() == 2; }));
+}
+
+Test(follow, a_configuration_with_an_odd_rule_takes_effect_for_the_others)
+{
+    FollowerFixture it;
+    it.start("s1");
+    std::string next = configuration("0000000c", "s2");
+    const std::string odd = R"({"name":"q","kind":"novel","targetLatencyMs":9,"priority":1,"match":{"prefix":"/q/"},)"
+                            R"("action":{"service":"s1","timeoutMs":9,"maxAttempts":1}},)";
+    next.insert(next.find(R"({"name":"r")"), odd);
+    it.fake.put("op/config", next);
+    cr_assert(eventually([&] { return it.activeVersion() == 12; }));
+    LockGuard lock(it.mutex);
+    cr_assert(it.active->rules.size() == 2);
+    cr_assert(!it.active->rules[0].unusable.empty() && it.active->rules[1].service == "s2");
+    cr_assert(it.metrics.counter("damask_configuration_parts_refused_total").Value() == 1);
+}
+
 Test(follow, keeps_its_state_during_each_kind_of_outage_and_catches_up_afterwards)
 {
     for (const StoreBehaviour behaviour :
--- a/tests/route/test_dispatcher.cpp
+++ b/tests/route/test_dispatcher.cpp
@@ -75,6 +75,8 @@
     Configuration configuration = oneService();
     configuration.rules.push_back({.name = "shut", .prefix = "/shut"});
     configuration.rules.push_back({.name = "gone", .prefix = "/gone", .service = "gone"});
+    configuration.rules.push_back(
+        {.name = "odd", .prefix = "/open/odd", .service = "pages", .unusable = "odd.kind = novel: needs safe"});
     configuration.rules[0].prefix = "/open";
     ScriptedDispatcher it({answered()}, configuration);
     const auto refusal = [&it](CallRequest n, int status, Code code) {
@@ -84,6 +86,7 @@
     };
     refusal(request("GET", "/else"), 404, Code::NoSuchService);
     refusal(request("GET", "/gone"), 404, Code::NoSuchService);
+    refusal(request("GET", "/open/odd/x"), 503, Code::RuleUnusable);
     refusal(request("GET", "/shut"), 404, Code::NoRule);
     refusal(request("GET", "/open/../shut"), 400, Code::BadRequest);
     CallRequest deep = request("GET", "/open");
@@ -94,7 +97,7 @@
     refusal(late, 503, Code::DeadlineTooShort);
     cr_assert(it.sender.seen().empty(), "no attempt must be sent");
     cr_assert(it.counterValue("damask_call_failures_total", "code", "NoRule") == 1);
-    cr_assert(it.counterValue("damask_calls_total", "outcome", "not-run") == 6);
+    cr_assert(it.counterValue("damask_calls_total", "outcome", "not-run") == 7);
 }
 
 Test(dispatcher, rejects_all_calls_without_a_configuration)
