route: heed what targets say about their end and their push-back

Cause: Server-Leaving was passed on and not read, so a worker that the store still called ready was sent requests after drainMs. Retry-After on a worker's 503 was not read either: the refusal lowered the worker's limit, counted as a failure and was followed by more requests. Found beside them: an ejected target that was removed kept its place among the ejected ones, so that after some releases nothing could be ejected any more. Change: TargetNotice (call) comes in through TargetProtocol::notice with any answer, probes and broken bodies included, unless another process sent it or it answers another request. Leaving holds for the process: over later reports, updates, reloads and the return of its entry; only another start of it clears it. Push-back takes the target out of choice and probes for so long, 60 s at most; dates, signs and exponents are malformed and ignored; it is neither a failure nor a sign of full slots. When all push back, calls are refused at once (TargetsPushBack) with the soonest return. Notices are logged and counted. Ruled out: marking it as draining with the load report (the next report clears it); the hold of 60 s that updates of peers use (a worker may leave for longer); stripping the header (it belongs to the answer).

--- a/src/back/load_probes.cpp
+++ b/src/back/load_probes.cpp
@@ -163,6 +163,7 @@
         }
         m_reusable = m_bytes.size() == headBytes + length && !head->close;
         m_lease.maxIdleTime = keepAliveTime(head->headers).value_or(m_lease.maxIdleTime);
+        m_result.notice = m_protocol.notice(m_target, {}, *head);
         auto report = m_protocol.readProbe(m_target, *head, std::string_view(m_bytes).substr(headBytes));
         m_reusable = m_reusable && (report || report.error().code != Code::BadAnswer);
         end(std::move(report));
--- a/src/back/load_probes.h
+++ b/src/back/load_probes.h
@@ -17,6 +17,7 @@
 /// Result of probing one target; results are in the order of the targets given.
 struct ProbeResult {
     Result<LoadReport> report;            // AnswerTimeout, ConnectionLost, ConnectFailed, BadAnswer, TargetShares
+    TargetNotice       notice;            // from any complete answer
     Duration           elapsed{0};        // until the probe ended
     bool               connected = false; // a new connection was made for it
 };
--- a/src/back/response_head.cpp
+++ b/src/back/response_head.cpp
@@ -125,6 +125,18 @@
     return headers;
 }
 
+std::optional<Duration> retryAfterTime(std::span<const HeaderField> headers)
+{
+    constexpr double MaxSeconds = 24 * 60 * 60;
+    const std::string_view text = headerValue(headers, "Retry-After");
+    double seconds = 0;
+    const bool plain = text.find_first_not_of("0123456789.") == std::string_view::npos; // no sign, exponent or name
+    if (!plain || !parseNumber(text, seconds)) {
+        return std::nullopt;
+    }
+    return fromMilliseconds(std::min(seconds, MaxSeconds) * 1000);
+}
+
 std::optional<Duration> keepAliveTime(std::span<const HeaderField> headers)
 {
     constexpr std::string_view Timeout = "timeout=";
--- a/src/back/response_head.h
+++ b/src/back/response_head.h
@@ -39,6 +39,10 @@
 std::vector<HeaderField> endToEndFields(std::vector<HeaderField>                          headers,
                                         const std::function<bool(std::string_view name)> &strips);
 
+/// The time in a Retry-After field given in seconds, which may have fractions; none if the field is missing, malformed,
+/// negative or a date. Times above a day count as a day.
+std::optional<Duration> retryAfterTime(std::span<const HeaderField> headers);
+
 /// How long the target keeps an idle connection open, from its Keep-Alive field; none if the field has no timeout.
 std::optional<Duration> keepAliveTime(std::span<const HeaderField> headers);
 
--- a/src/back/sender.cpp
+++ b/src/back/sender.cpp
@@ -75,6 +75,7 @@
         result.code = Code::Cancelled; // the body ended because of our own interrupt()
     }
     classify(attempt, result, out);
+    out.notice = protocol.notice(attempt.address, attempt.request.requestId, result.head);
     if (result.code != Code::Ok && cancelled) {
         out.code = Code::Cancelled;
     }
--- a/src/back/target_protocol.cpp
+++ b/src/back/target_protocol.cpp
@@ -81,6 +81,15 @@
     return refused ? std::optional(Code::TargetRefused) : std::nullopt;
 }
 
+TargetNotice readNotice(const TargetAddress &, std::string_view, const ResponseHead &head)
+{
+    TargetNotice out;
+    if (readRefusal(head) && head.status == ServiceUnavailable) {
+        out.pushBack = retryAfterTime(head.headers).value_or(Duration::zero());
+    }
+    return out;
+}
+
 Result<LoadReport> readLoadReport(const TargetAddress &, const ResponseHead &head, std::string_view body)
 {
     if (head.status != HttpOk) {
@@ -100,6 +109,7 @@
     };
     out.load = readLoadFields;
     out.refusalCode = readRefusal;
+    out.notice = readNotice;
     out.check = [](const Attempt &, const ResponseHead &) {
         return Result<void>();
     };
--- a/src/back/target_protocol.h
+++ b/src/back/target_protocol.h
@@ -28,6 +28,10 @@
     std::function<Result<void>(const Attempt &, const ResponseHead &)> check; // BadAnswer: response to another request
     std::function<bool(std::string_view name)> strips; // response fields that are not passed on to callers
 
+    /// What an answer says about the target's availability. `requestId` is empty for probes. The notice of another
+    /// process, or one that answers another request, must be left out.
+    std::function<TargetNotice(const TargetAddress &, std::string_view requestId, const ResponseHead &)> notice;
+
     // Load probes
     std::function<std::string(const TargetAddress &)> probePath; // path of the GET request; empty: can't be probed
     std::function<Result<LoadReport>(const TargetAddress &, const ResponseHead &, std::string_view body)>
--- a/src/call/message.h
+++ b/src/call/message.h
@@ -66,6 +66,14 @@
     double slowdown = 0;      // current service time relative to normal; 1: normal, 0: not reported
 };
 
+/// What a target says about its own availability, in any answer.
+struct TargetNotice {
+    bool     leaving = false; // its process will end and wants no new requests until then
+    Duration pushBack{0};     // it wants no requests from this instance for so long; 0: not said
+
+    bool operator==(const TargetNotice &) const = default;
+};
+
 /// How an attempt ended.
 enum class AttemptEnd {
     NotSent,  // no byte was sent: connect failed or no connection was free
@@ -80,6 +88,7 @@
     Code                      code = Code::Ok; // reason, if not answered
     CallResponse              response;        // set if answered or refused
     std::optional<LoadReport> load;            // received with the response
+    TargetNotice              notice;          // received with any answer of the target, usable or not
     Duration                  connectTime{0};  // 0 if a connection was reused
     Duration                  elapsed{0};      // from send to end
 };
--- a/src/programs/damask-node/node.cpp
+++ b/src/programs/damask-node/node.cpp
@@ -27,6 +27,7 @@
     Result<void> readiness() const;
     OperateResponse answerReadiness();
     void recordHealthChange(const HealthChange &change);
+    void recordNotice(const NoticeReceived &received);
     std::string status() const;
     void closeIdleLoop();
     void enforceGracePeriod(TimePoint latest);
@@ -65,9 +66,10 @@
     , stopChanged(c)
     , sender(c, m, o.sender, protocol.target)
     , balancer(c, m, o.balancer,
-               {.healthChanged =
-                    [this](const HealthChange &change) {
-                        recordHealthChange(change);
+               {.healthChanged = [this](const HealthChange &change) { recordHealthChange(change); },
+                .noticeReceived =
+                    [this](const NoticeReceived &notice) {
+                        recordNotice(notice);
                     }})
     , selectionProbe(c, o.selectionProbe,
                      {.bestCandidates = [this](const AcquireRequest &request,
@@ -83,9 +85,10 @@
           {.send = [this](const Attempt &attempt) { return sender.send(attempt); },
            .acquire = [this](const AcquireRequest &request) { return acquire(request); },
            .finish = [this](const Permit &permit, const PermitReport &report) { balancer.finish(permit, report); },
-           .status =
+           .status = [this](std::string_view service) { return balancer.status(service); },
+           .pushBackLeft =
                [this](std::string_view service) {
-                   return balancer.status(service);
+                   return balancer.pushBackLeft(service);
                }})
     , front(
           c, m, o.front,
@@ -141,6 +144,8 @@
     for (size_t n = 0; n < replies.size(); ++n) {
         LoadUpdate it;
         it.target = targets[n]->name;
+        it.notice = replies[n].notice;
+        it.startedAt = targets[n]->startedAt;
         if (replies[n].report) {
             it.report = *replies[n].report;
             it.asked = true;
@@ -148,7 +153,7 @@
             continue; // refused by this node's own limit; says nothing about the target
         } else if (replies[n].report.error().code == Code::TargetReplaced) {
             it.leaving = true;
-        } else {
+        } else if (it.notice.pushBack == Duration::zero()) {
             it.silent = true;
         }
         updates.push_back(std::move(it));
@@ -225,6 +230,16 @@
              {{"target", change.target}, {"failing", change.failureShare}, {"reason", change.reason}});
 }
 
+void Node::State::recordNotice(const NoticeReceived &received)
+{
+    metrics.count("damask_target_notices_total", {{"notice", received.notice.leaving ? "leaving" : "push-back"}});
+    logEvent(Severity::Info, "target-notice",
+             {{"target", received.target},
+              {"leaving", received.notice.leaving},
+              {"pushBackMs", toMilliseconds(received.pushBack)},
+              {"saidMs", toMilliseconds(received.notice.pushBack)}});
+}
+
 std::string Node::State::status() const
 {
     const FollowStatus n = follower.status();
--- a/src/route/balancer.cpp
+++ b/src/route/balancer.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::array RefusalCodes{Code::NoSuchService, Code::NoTarget,         Code::QueueFull,
                                   Code::QueueTimeout,  Code::DeadlineTooShort, Code::FairShareExceeded,
-                                  Code::Cancelled,     Code::NoConfiguration};
+                                  Code::Cancelled,     Code::NoConfiguration,  Code::TargetsPushBack};
 
 /// The counters of one service, resolved once so that calls need no lookup.
 struct ServiceCounters {
@@ -373,6 +373,16 @@
     return shared->table.bestCandidates(request, m_state->clock.now(), limit);
 }
 
+Duration Balancer::pushBackLeft(std::string_view service) const
+{
+    const TablePointer shared = m_state->find(service);
+    if (!shared) {
+        return Duration(0);
+    }
+    LockGuard lock(shared->mutex);
+    return shared->table.pushBackLeft(m_state->clock.now());
+}
+
 std::vector<LoadUpdate> Balancer::loadSnapshot() const
 {
     std::vector<LoadUpdate> updates;
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -35,6 +35,7 @@
     int         connectionShare = 8; // max connections from this instance
     std::string instance;            // identity that the target must confirm; empty: not checked
     std::string healthPath;          // path of its health check; empty: the default of the target form
+    int64_t     startedAt = 0;       // start of its process, ms since 1970; 0: unknown
 };
 
 /// The requirements of one attempt.
@@ -75,18 +76,21 @@
 struct PermitReport {
     AttemptEnd                end = AttemptEnd::NotSent;
     Code                      code = Code::Ok;
-    std::optional<LoadReport> load;       // carried on the answer
-    int                       status = 0; // HTTP status if answered; 5xx counts as a failure
+    std::optional<LoadReport> load;        // carried on the answer
+    int                       status = 0;  // HTTP status if answered; 5xx counts as a failure
+    TargetNotice              notice = {}; // carried on any answer
 };
 
 /// An update on a target's load or draining, from a probe, a peer or the instance list.
 struct LoadUpdate {
-    std::string target;          // "pool/target"
-    LoadReport  report;          // the load
-    Duration    age{0};          // age of the report on arrival
-    bool        leaving = false; // reported as leaving by the instance list or a peer
-    bool        silent = false;  // a probe got no answer; report is not set
-    bool        asked = false;   // was probed by this instance and answered
+    std::string  target;          // "pool/target"
+    LoadReport   report;          // the load
+    Duration     age{0};          // age of the report on arrival
+    bool         leaving = false; // reported as leaving by the instance list or a peer
+    bool         silent = false;  // a probe got no answer; report is not set
+    bool         asked = false;   // was probed by this instance and answered
+    TargetNotice notice = {};     // carried on the answer to a probe of this instance
+    int64_t      startedAt = 0;   // of the process that sent the notice
 };
 
 /// A target with a low expected completion time for a call.
@@ -131,11 +135,20 @@
     std::string_view reason;           // "answer", "failure" or "question" (probe)
 };
 
+/// A target has said something about its availability that was not known yet.
+struct NoticeReceived {
+    std::string_view target;      // "pool/target"
+    TargetNotice     notice;      // as received
+    Duration         pushBack{0}; // for how long it gets nothing from this instance; 0: not pushed back
+};
+
 /// Replaceable parts: the policy, the random source and observers.
 struct BalancerHooks {
     PickPolicy                                pick;          // default: damaskPolicy()
     RandomSource                              random;        // default: systemRandom(); safe from all threads
     std::function<void(const HealthChange &)> healthChanged; // called under a lock, must not call back; default: none
+    std::function<void(const NoticeReceived &)>
+        noticeReceived; // called under a lock, must not call back; default: none
     std::function<void(std::string_view target, TargetView &view)> fillTrueLoad; // for oraclePolicy(); default: none
 };
 
@@ -156,9 +169,10 @@
     void           finish(const Permit &permit, const PermitReport &report); // exactly once for each permit
     void           updateLoad(std::span<const LoadUpdate> updates);
     std::vector<TargetCandidate> bestCandidates(const AcquireRequest &request, size_t limit); // best first
-    std::vector<LoadUpdate>      loadSnapshot() const; // latest reports, for the peers
-    std::vector<TargetStatus>    status(std::string_view service) const;
-    int                          inFlight() const; // permits not finished yet
+    Duration pushBackLeft(std::string_view service) const; // until the first target that pushes back takes requests
+    std::vector<LoadUpdate>   loadSnapshot() const;        // latest reports, for the peers
+    std::vector<TargetStatus> status(std::string_view service) const;
+    int                       inFlight() const; // permits not finished yet
 
 private:
     struct State;
--- a/src/route/dispatcher.cpp
+++ b/src/route/dispatcher.cpp
@@ -144,6 +144,7 @@
                                            .objective = call.route.rule->objective,
                                            .cancel = &cancel});
         if (!permit) {
+            call.pushedBack = permit.error().code == Code::TargetsPushBack;
             return buildResponse(call, cancel.cancelled() ? Code::Cancelled : refusalCode(permit.error().code));
         }
         AttemptResult last = attempt(call, *permit, cancel);
@@ -187,7 +188,9 @@
                                     .number = call.attempts,
                                     .idempotent = call.idempotent,
                                     .cancel = &cancel});
-    hooks.finish(permit, {.end = out.end, .code = out.code, .load = out.load, .status = out.response.status});
+    hooks.finish(
+        permit,
+        {.end = out.end, .code = out.code, .load = out.load, .status = out.response.status, .notice = out.notice});
     counters.attempt(out.end, out.elapsed);
     return out;
 }
@@ -213,9 +216,14 @@
     return call.route.state->budget.tryWithdraw(now) ? RetryDenial::None : RetryDenial::Budget;
 }
 
-/// Limits Retry-After to a share of the caller's remaining time, if known: a retry after its deadline is useless.
-void Dispatcher::State::limitRetryAfter(const CallState &call, CallResponse &response) const
+/// Sets when the caller may retry: when the first target that pushes back takes requests again, or else after a share
+/// of the caller's remaining time, if known, since a retry after its deadline is useless.
+void Dispatcher::State::setRetryAfter(const CallState &call, CallResponse &response) const
 {
+    if (call.pushedBack && response.retryAfter > Duration::zero()) {
+        response.retryAfter = std::max(hooks.pushBackLeft(call.route.service->name), options.minRetryAfter);
+        return;
+    }
     if (response.retryAfter == Duration::zero() || options.retryAfterShare <= 0 || !call.request.timeLeft) {
         return;
     }
@@ -303,7 +311,7 @@
     CallState call{.request = request};
     const Code code = m_state->admit(call);
     CallResponse out = code == Code::Ok ? m_state->run(call, cancel) : errorResponse(code);
-    m_state->limitRetryAfter(call, out);
+    m_state->setRetryAfter(call, out);
     m_state->counters.call(out, m_state->clock.now() - request.arrivedAt);
     m_state->saveTrace(call, out);
     return out;
--- a/src/route/dispatcher.h
+++ b/src/route/dispatcher.h
@@ -35,6 +35,7 @@
     std::function<Result<Permit>(const AcquireRequest &)>              acquire;
     std::function<void(const Permit &, const PermitReport &)>          finish;
     std::function<std::vector<TargetStatus>(std::string_view service)> status;
+    std::function<Duration(std::string_view service)>                  pushBackLeft;
 };
 
 struct DispatcherOptions {
@@ -55,9 +56,9 @@
 public:
     Dispatcher(Clock &clock, Metrics &metrics, Balancer &balancer, const DispatcherOptions &options,
                DispatcherHooks hooks);
-    Dispatcher(Clock &clock, Metrics &metrics, const DispatcherOptions &options,
-               DispatcherHooks hooks); // without a balancer: hooks must set acquire, finish and status
-    ~Dispatcher();                     // waits for running hedges; dispatch() must not be running
+    /// Without a balancer: hooks must set acquire, finish, status and pushBackLeft.
+    Dispatcher(Clock &clock, Metrics &metrics, const DispatcherOptions &options, DispatcherHooks hooks);
+    ~Dispatcher(); // waits for running hedges; dispatch() must not be running
 
     void         apply(std::shared_ptr<const Configuration> configuration); // call after the balancer's apply()
     CallResponse dispatch(const CallRequest &request, CancelToken &cancel);
--- a/src/route/dispatcher_balancer.cpp
+++ b/src/route/dispatcher_balancer.cpp
@@ -22,6 +22,11 @@
             return balancer.status(service);
         };
     }
+    if (!hooks.pushBackLeft) {
+        hooks.pushBackLeft = [&balancer](std::string_view service) {
+            return balancer.pushBackLeft(service);
+        };
+    }
     return hooks;
 }
 
--- a/src/route/dispatcher_call.h
+++ b/src/route/dispatcher_call.h
@@ -27,6 +27,7 @@
     int                               possiblyRun = 0;  // attempts that the target ran, may have run or may be running
     Code                              notRunCode = Code::Ok;  // why the last attempt did not run
     Code                              unknownCode = Code::Ok; // why the last possibly run attempt gave no response
+    bool                              pushedBack = false;     // refused because all targets push back
     std::string                       avoid;                  // name of the target that failed last
     std::optional<CallResponse>       response;               // the best one so far
     size_t                            traceIndex = 0;         // index of the current attempt in trace.attempts
--- a/src/route/dispatcher_hedge.cpp
+++ b/src/route/dispatcher_hedge.cpp
@@ -87,8 +87,11 @@
                                        .number = 2,
                                        .idempotent = true,
                                        .cancel = &race.hedgeToken()});
-    hooks.finish(*permit,
-                 {.end = result.end, .code = result.code, .load = result.load, .status = result.response.status});
+    hooks.finish(*permit, {.end = result.end,
+                           .code = result.code,
+                           .load = result.load,
+                           .status = result.response.status,
+                           .notice = result.notice});
     counters.attempt(result.end, result.elapsed);
     if (!race.end(HedgeResult{std::move(result), permit->address->name, permit->waited})) {
         counters.hedge(HedgeEnd::Lost);
--- a/src/route/dispatcher_state.h
+++ b/src/route/dispatcher_state.h
@@ -28,7 +28,7 @@
     AttemptResult attempt(CallState &call, const Permit &permit, CancelToken &cancel);
     AttemptResult send(const CallState &call, const Permit &permit, CancelToken &cancel);
     RetryDenial   decideRetry(const CallState &call, const AttemptResult &last, const CancelToken &cancel);
-    void          limitRetryAfter(const CallState &call, CallResponse &response) const;
+    void          setRetryAfter(const CallState &call, CallResponse &response) const;
     void          saveTrace(CallState &call, const CallResponse &response);
     void          logCall(const CallTrace &trace);
 
--- a/src/route/service_feedback.cpp
+++ b/src/route/service_feedback.cpp
@@ -21,6 +21,7 @@
 constexpr Duration UnresponsiveHold = std::chrono::milliseconds(500); // of the penalty, which delays the next probe
 constexpr float SlowdownWeight = 0.02F;                               // of one report in the mean slowdown
 constexpr int FirstServerError = 500;                                 // HTTP status
+constexpr Duration MaxPushBack = std::chrono::seconds(60);            // taken at face value; longer ones count as this
 
 /// Whether the target reports far more calls than its limit, so that an ended call must not be replaced by another.
 bool isOverloaded(const TargetEntry &entry, const PermitReport &report)
@@ -51,7 +52,7 @@
     DAMASK_ASSERT(m_inFlight >= 0, "finish each permit exactly once");
     recordResult(*entry, permit, report, now);
     if (!entry->configured && entry->load.inFlight() == 0) {
-        eraseRemoved();
+        eraseRemoved(now);
     }
 }
 
@@ -61,12 +62,19 @@
         recordReport(entry, *report.load, now - entry.linkDelay / 2);
         m_lastProgressAt = now;
     }
+    if (permit.address->startedAt == entry.target.startedAt && permit.address->port == entry.target.port) {
+        recordNotice(entry, report.notice, now);
+    }
     const bool freeSlot = !report.load || report.load->inFlight < entry.target.slots;
     if (report.code == Code::TargetReplaced) {
         entry.leavingUntil = now + LeavingHold; // until the registry reports the new process
         entry.health.trialEnded();
         return;
     }
+    if (report.notice.pushBack > Duration(0)) {
+        entry.health.trialEnded(); // it is well, and its slots are not known to be full
+        return;
+    }
     switch (report.end) {
     case AttemptEnd::Answered:
         m_lastProgressAt = now;
@@ -81,7 +89,7 @@
         if (!reportsFreeSlot(entry, report, now)) {
             entry.load.refused(entry.target.slots);
         }
-        if (freeSlot && !entry.reportsDrain) {
+        if (freeSlot && !entry.reportsDrain && !entry.leaving) {
             recordFailure(entry, now, "failure");
         } else {
             entry.health.trialEnded();
@@ -176,6 +184,9 @@
     if (entry == nullptr) {
         return;
     }
+    if (update.startedAt == entry->target.startedAt) {
+        recordNotice(*entry, update.notice, now);
+    }
     if (update.silent) {
         entry->unresponsiveUntil = now + UnresponsiveHold;
         recordFailure(*entry, now, "question");
@@ -193,6 +204,18 @@
     }
 }
 
+/// Load reports never undo a notice: a process that leaves stays leaving whatever others still say about it.
+void ServiceTable::recordNotice(TargetEntry &entry, const TargetNotice &notice, TimePoint now)
+{
+    const Duration pushBack = std::min(notice.pushBack, MaxPushBack);
+    const bool news = (notice.leaving && !entry.leaving) || pushBack > Duration(0);
+    entry.leaving = entry.leaving || notice.leaving;
+    entry.pushBackUntil = std::max(entry.pushBackUntil, now + pushBack);
+    if (news && m_hooks.noticeReceived) {
+        m_hooks.noticeReceived({entry.address->name, notice, pushBack});
+    }
+}
+
 /// Successful probe answers reinstate a half-open target without risking any call.
 void ServiceTable::recordProbeAnswer(TargetEntry &entry, const LoadUpdate &update, TimePoint now)
 {
--- a/src/route/service_table.cpp
+++ b/src/route/service_table.cpp
@@ -20,6 +20,7 @@
 constexpr float UnresponsivePenalty = 10;   // factor while a target does not answer probes
 constexpr float UnhealthyPenalty = 4;       // factor while a target reports itself unhealthy
 constexpr float MinAnswerTime = 1;          // ms, lower bound of the mean answer time, used while none is known
+constexpr size_t MaxFormerTargets = 4096; // remembered for each service, of those that said something that still holds
 constexpr Duration MinSilence = std::chrono::milliseconds(5); // without any answer before estimates are ignored
 
 /// Whether a call sent now is likely to start at once and to run at about normal speed.
@@ -67,7 +68,7 @@
         }
     }
     m_revision = configuration.revision;
-    eraseRemoved();
+    eraseRemoved(now);
     sortByDistance();
 }
 
@@ -91,6 +92,8 @@
         entry->leavingUntil = {};
         entry->unresponsiveUntil = {};
         entry->unhealthy = false;
+        entry->leaving = false;
+        entry->pushBackUntil = {};
     }
     if (fresh || moved) {
         entry->coldStartUntil = now + target.coldLeft;
@@ -100,8 +103,12 @@
     }
     entry->target = target;
     entry->configured = true;
-    entry->address = std::make_shared<const TargetAddress>(TargetAddress{
-        name, target.address, target.port, m_service.connectionShare, target.instance, m_service.healthPath});
+    if (fresh) {
+        recall(*entry);
+    }
+    entry->address = std::make_shared<const TargetAddress>(TargetAddress{name, target.address, target.port,
+                                                                         m_service.connectionShare, target.instance,
+                                                                         m_service.healthPath, target.startedAt});
     updateDistance(configuration, *entry);
 }
 
@@ -118,9 +125,44 @@
     entry.linkDelay = entry.otherRegion ? roundTripBetween(configuration, here, there) : SameRegionDelay;
 }
 
-void ServiceTable::eraseRemoved()
+void ServiceTable::eraseRemoved(TimePoint now)
+{
+    std::erase_if(m_targets, [&](const auto &n) {
+        if (n->configured || n->load.inFlight() > 0) {
+            return false;
+        }
+        m_ejected -= n->health.ejected() ? 1 : 0;
+        remember(*n, now);
+        return true;
+    });
+}
+
+/// Keeps what a removed target has said about its availability: its entry may return while the same process runs.
+void ServiceTable::remember(const TargetEntry &entry, TimePoint now)
+{
+    if (!entry.leaving && entry.pushBackUntil <= now) {
+        return;
+    }
+    const Target &target = entry.target;
+    m_former[target.name] = {target.startedAt, target.address + ":" + std::to_string(target.port), entry.leaving,
+                             entry.pushBackUntil, ++m_removals};
+    if (m_former.size() > MaxFormerTargets) {
+        const auto earlier = [](const auto &left, const auto &right) {
+            return left.second.sequence < right.second.sequence;
+        };
+        m_former.erase(std::min_element(m_former.begin(), m_former.end(), earlier));
+    }
+}
+
+void ServiceTable::recall(TargetEntry &entry) const
 {
-    std::erase_if(m_targets, [](const auto &n) { return !n->configured && n->load.inFlight() == 0; });
+    const Target &target = entry.target;
+    const auto it = m_former.find(target.name);
+    if (it != m_former.end() && it->second.startedAt == target.startedAt
+        && it->second.address == target.address + ":" + std::to_string(target.port)) {
+        entry.leaving = it->second.leaving;
+        entry.pushBackUntil = it->second.pushBackUntil;
+    }
 }
 
 void ServiceTable::sortByDistance()
@@ -174,7 +216,20 @@
 
 bool ServiceTable::draining(const TargetEntry &entry, TimePoint now) const
 {
-    return entry.target.draining || entry.reportsDrain || now < entry.leavingUntil || !entry.configured;
+    return entry.target.draining || entry.reportsDrain || entry.leaving || now < entry.leavingUntil
+           || !entry.configured;
+}
+
+Duration ServiceTable::pushBackLeft(TimePoint now) const
+{
+    Duration out{0};
+    for (const auto &it : m_targets) {
+        if (it->pushBackUntil > now && !draining(*it, now)) {
+            const Duration left = it->pushBackUntil - now;
+            out = out == Duration(0) ? left : std::min(out, left);
+        }
+    }
+    return out;
 }
 
 Code ServiceTable::admit(const AcquireRequest &request, TimePoint now) const
@@ -191,7 +246,7 @@
 
 bool ServiceTable::allowed(const TargetEntry &entry, const AcquireRequest &request, TimePoint now) const
 {
-    if (draining(entry, now)) {
+    if (draining(entry, now) || now < entry.pushBackUntil) {
         return false;
     }
     if (entry.otherRegion && !m_regionOpen) {
@@ -210,7 +265,7 @@
     }
     collect(request, now);
     if (m_views.empty()) {
-        return {nullptr, Code::NoTarget};
+        return {nullptr, pushBackLeft(now) > Duration(0) ? Code::TargetsPushBack : Code::NoTarget};
     }
     PickContext context;
     context.random = &m_hooks.random;
--- a/src/route/service_table.h
+++ b/src/route/service_table.h
@@ -14,6 +14,7 @@
 #include "route/wait_queue.h"
 
 #include <array>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -34,8 +35,19 @@
     TimePoint                            unresponsiveUntil{};  // penalised until then: a probe got no answer
     TimePoint                            coldStartUntil{};     // its new process is slow until then
     bool                                 unhealthy = false;    // as reported in its last probe answer
-    bool                                 configured = true;    // false: removed, kept until its calls have ended
-    uint64_t                             lastSequence = 0;     // of the last choice that considered it
+    bool                                 leaving = false;   // its process has said so; only another process clears it
+    TimePoint                            pushBackUntil{};   // it wants nothing from this instance until then
+    bool                                 configured = true; // false: removed, kept until its calls have ended
+    uint64_t                             lastSequence = 0;  // of the last choice that considered it
+};
+
+/// What the process of a removed target has said, in case its entry returns.
+struct FormerTarget {
+    int64_t     startedAt = 0;
+    std::string address; // "address:port"
+    bool        leaving = false;
+    TimePoint   pushBackUntil{};
+    uint64_t    sequence = 0; // of its removal
 };
 
 /// The result of a choice.
@@ -69,6 +81,7 @@
     void      cancel(uint64_t id, std::vector<ResolvedWait> &resolved);
     TimePoint processQueue(TimePoint now, std::vector<ResolvedWait> &resolved); // returns when to call it next
 
+    Duration         pushBackLeft(TimePoint now) const; // until the first target that pushes back takes requests
     void             appendUpdates(TimePoint now, std::vector<LoadUpdate> &updates) const;
     void             appendStatus(TimePoint now, std::vector<TargetStatus> &status) const;
     const WaitQueue &queue() const;
@@ -76,7 +89,9 @@
 private:
     void         applyTarget(const Configuration &configuration, const Pool &pool, const Target &target, TimePoint now);
     void         updateDistance(const Configuration &configuration, TargetEntry &entry) const;
-    void         eraseRemoved();
+    void         eraseRemoved(TimePoint now);
+    void         remember(const TargetEntry &entry, TimePoint now);
+    void         recall(TargetEntry &entry) const;
     void         sortByDistance();
     bool         grantOne(TimePoint now, std::vector<ResolvedWait> &resolved); // false: nothing to grant now
     bool         draining(const TargetEntry &entry, TimePoint now) const;
@@ -98,12 +113,15 @@
     void         recordFailure(TargetEntry &entry, TimePoint now, std::string_view reason);
     void         recordSuccess(TargetEntry &entry, TimePoint now, std::string_view reason);
     void         recordReport(TargetEntry &entry, const LoadReport &report, TimePoint takenAt);
+    void         recordNotice(TargetEntry &entry, const TargetNotice &notice, TimePoint now);
     TargetEntry *find(std::string_view name);
 
     BalancerOptions                           m_options;
     const BalancerHooks                      &m_hooks;
     Service                                   m_service;
     std::vector<std::unique_ptr<TargetEntry>> m_targets; // nearest first, removed ones last
+    std::map<std::string, FormerTarget>       m_former;  // by name; bounded
+    uint64_t                                  m_removals = 0;
     size_t                                    m_configured = 0;
     size_t                                    m_localEnd = 0;      // end of the targets in this data centre
     size_t                                    m_regionEnd = 0;     // end of the targets in this region
--- a/tests/fakes/fake_sender.h
+++ b/tests/fakes/fake_sender.h
@@ -101,8 +101,13 @@
         out.status = [this](std::string_view) {
             return status();
         };
+        out.pushBackLeft = [this](std::string_view) {
+            return pushBackLeft;
+        };
         return out;
     }
+    Duration pushBackLeft{0}; // as the balancer would report it; set before the first call
+
     void refuse(Code code) // fails further acquisitions with the code; Ok grants them again
     {
         LockGuard lock(m_mutex);
--- a/tests/platform/test_workers.cpp
+++ b/tests/platform/test_workers.cpp
@@ -193,6 +193,52 @@
     cr_assert(it.counts().open == 0);
 }
 
+Test(workers, announce_their_end_and_their_push_back_in_any_answer)
+{
+    const auto sent = [](std::string_view response, bool close = false) {
+        FakeTarget target(alwaysReply(std::string(response), close));
+        SenderFixture it(target);
+        return it.send(300ms).notice;
+    };
+    const auto probed = [](std::string_view response) {
+        FakeTarget target(alwaysReply(std::string(response)));
+        SenderFixture it(target);
+        return it.ask(300ms).notice;
+    };
+    const std::string leaving = std::string(SealedHeaders) + "Server-Leaving: 1\r\n";
+    const std::string refused = "X-Not-Executed: 1\r\nRetry-After: 0.75\r\n";
+    cr_assert(sent(completeResponse("ok", leaving)).leaving);
+    cr_assert(sent(completeResponse("sorry", leaving, "500 Internal Server Error")).leaving);
+    cr_assert(sent("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n" + leaving + "\r\nbroken", true).leaving,
+              "also on an answer that breaks off");
+    cr_assert(!sent(completeResponse("ok", SealedHeaders)).leaving);
+    cr_assert(!sent(completeResponse("ok", std::string(SealedHeaders) + "Server-Leaving: 0\r\n")).leaving);
+    cr_assert(!sent(completeResponse("ok", "X-Request-Id: r-2\r\nX-Response-Seal: s\r\nServer-Leaving: 1\r\n")).leaving,
+              "the answer to another request");
+    cr_assert(!sent(completeResponse("", "Server-Leaving: 1\r\n", "421 Misdirected Request")).leaving,
+              "another worker answers");
+    const std::string_view unavailable = "503 Service Unavailable";
+    cr_assert(sent(completeResponse("", refused, unavailable)).pushBack == 750ms);
+    cr_assert(sent(completeResponse("", refused, "429 Too Many Requests")).pushBack == 0ms);
+    cr_assert(probed(completeResponse("", refused, unavailable)).pushBack == 750ms);
+    cr_assert(probed(completeResponse("", "X-Instance-Id: i-1\r\nServer-Leaving: 1\r\n", unavailable)).leaving);
+    cr_assert(!probed(completeResponse("", "X-Instance-Id: i-2\r\nServer-Leaving: 1\r\n")).leaving, "another worker");
+}
+
+Test(workers, a_push_back_is_read_as_plain_seconds)
+{
+    const auto read = [](std::string_view text) {
+        const std::vector<HeaderField> fields{{"Retry-After", std::string(text)}};
+        return retryAfterTime(fields);
+    };
+    cr_assert(read("0") == 0ms && read("2") == 2s && read("0.25") == 250ms && read("1.") == 1s);
+    cr_assert(read("99999999999999999999") == 24h);
+    for (const char *bad :
+         {"", "-1", "+1", "1e3", "inf", "nan", "1,5", "1 2", ".", "1.2.3", "0x10", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        cr_assert(!read(bad), "%s", bad);
+    }
+}
+
 Test(workers, load_reports_are_parsed_and_malformed_ones_ignored)
 {
     const auto form = platform::targetForm();
--- a/tests/route/test_dispatcher.cpp
+++ b/tests/route/test_dispatcher.cpp
@@ -100,6 +100,18 @@
     cr_assert(it.counterValue("damask_calls_total", "outcome", "not-run") == 7);
 }
 
+Test(dispatcher, when_all_targets_push_back_the_caller_is_told_the_soonest_return)
+{
+    ScriptedDispatcher it({answered()});
+    it.sender.refuse(Code::TargetsPushBack);
+    it.sender.pushBackLeft = 700ms;
+    CallRequest call = request();
+    call.timeLeft = 1s;
+    const CallResponse got = it.call(call);
+    cr_assert(got.status == 503 && got.code == Code::TargetsPushBack && got.outcome == Outcome::NotRun);
+    cr_assert(got.retryAfter == 700ms);
+}
+
 Test(dispatcher, rejects_all_calls_without_a_configuration)
 {
     Clock clock;
