Pass uploads on while they arrive

Cause: the body of an upload was gathered before a worker was chosen. 50 bodies of 8 MB need 400 MB on a node that has 160; once complete, a body was no longer counted towards the limit of buffered bytes at all. Change: a body of more than 64 KB under a rule with large bodies becomes a BodyStream (call). The thread that serves the call reads it from the caller and writes it to the worker, 16 KB at a time, so that each side waits for the other; with a length as such, otherwise in chunks. Nothing is sent a second time once a byte has left (RetryDenial::BodySent). An answer of the worker ends the upload and is delivered with Connection: close; the rest of the body is discarded, never parsed. A caller that stops, trickles or sends malformed chunks ends the call, and the worker never sees a complete request: 504 or 400 with outcome unknown, since 408 would promise that it has not run; the worker is not blamed. Gathered bodies now count as buffered until their call has ended. Ruled out: keeping the first 64 KB to send an early refused upload again (the users rule out any second send); gathering to the end for calls that may be retried (small bodies still are).

--- a/src/back/exchange.cpp
+++ b/src/back/exchange.cpp
@@ -2,16 +2,19 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 #include <cstring>
 #include <httplib.h>
+#include <poll.h>
 
 namespace damask {
 
 namespace {
 
-constexpr size_t MaxHeadBytes = 64UL * 1024; // of a response's head
-constexpr size_t MaxStatusLine = 1024;       // bytes; the library matches the line with a recursive std::regex
-constexpr size_t BufferBytes = 16UL * 1024;  // per read from the socket
+constexpr size_t MaxHeadBytes = 64UL * 1024;    // of a response's head
+constexpr size_t MaxFramingBytes = 64UL * 1024; // between two bytes of a body: chunk sizes, extensions, trailers
+constexpr size_t MaxStatusLine = 1024;          // bytes; the library matches the line with a recursive std::regex
+constexpr size_t BufferBytes = 16UL * 1024;     // per read from a socket
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr std::string_view ChunksEnd = "0\r\n\r\n";
 constexpr std::string_view Continue = "HTTP/1.1 100";
@@ -44,6 +47,7 @@
         const size_t n = std::min(size, m_filled - m_at);
         std::memcpy(out, m_buffer.data() + m_at, n);
         m_at += n;
+        m_framingBytes += n;
         recordBytes({out, n});
         return m_code == Code::Ok ? static_cast<ssize_t>(n) : -1;
     }
@@ -62,6 +66,11 @@
         return INVALID_SOCKET;
     }
 
+    /// Bytes of the body have been read, so the limit of bytes around them starts again.
+    void bodyAdvanced()
+    {
+        m_framingBytes = 0;
+    }
     Code code() const
     {
         return m_code;
@@ -91,7 +100,12 @@
 private:
     bool fill()
     {
-        const IoResult got = m_connection.receive(m_buffer, m_deadline - m_clock.now());
+        const Duration left = m_deadline - m_clock.now();
+        if (left <= Duration::zero()) {
+            m_code = Code::AnswerTimeout; // bytes without end must not hold the caller beyond the deadline
+            return false;
+        }
+        const IoResult got = m_connection.receive(m_buffer, left);
         if (got.end == IoEnd::Done) {
             m_at = 0;
             m_filled = got.bytes;
@@ -107,6 +121,9 @@
             std::rotate(m_last.begin(), m_last.begin() + 1, m_last.end());
             m_last.back() = c;
         }
+        if (m_framingBytes > (m_headComplete ? MaxFramingBytes + BufferBytes : MaxHeadBytes)) {
+            m_code = Code::AnswerTooLarge; // interim responses count as well
+        }
         if (m_headComplete) {
             return;
         }
@@ -117,8 +134,7 @@
                 m_head.clear();
             }
         }
-        const bool longLine = m_head.size() > MaxStatusLine && m_head.find('\n') == std::string::npos;
-        if (longLine || m_head.size() > MaxHeadBytes) {
+        if (m_head.size() > MaxStatusLine && m_head.find('\n') == std::string::npos) {
             m_code = Code::AnswerTooLarge;
         }
     }
@@ -131,6 +147,7 @@
     size_t m_filled = 0;
     std::array<char, 5> m_last{}; // last bytes read by the library
     std::string m_head;
+    size_t m_framingBytes = 0; // read since the start or the last byte of the body
     bool m_headComplete = false;
     bool m_closed = false;
     Code m_code = Code::Ok;
@@ -187,6 +204,7 @@
             return false;
         }
         out.body.append(bytes, n);
+        stream.bodyAdvanced();
         return true;
     };
     httplib::Response response;
@@ -210,6 +228,73 @@
     return ended ? Code::Ok : Code::BadAnswer;
 }
 
+/// Waits until more of the body or an early response may have arrived.
+void waitForEither(int body, int target, Duration timeout)
+{
+    std::array<pollfd, 2> entries{pollfd{body, POLLIN, 0}, pollfd{target, POLLIN, 0}};
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(std::max(timeout, Duration::zero()));
+    ::poll(entries.data(), entries.size(), static_cast<int>(left.count())); // an interrupted wait is just shorter
+}
+
+std::string chunkHeader(size_t bytes)
+{
+    std::array<char, 20> buf{};
+    std::snprintf(buf.data(), buf.size(), "%zx\r\n", bytes);
+    return buf.data();
+}
+
+/// Sends the head, and the body while it arrives. At most one buffer of it is kept: while the target does not read,
+/// nothing more is taken from the caller. InputPending: the target has responded or closed before the end of the body.
+/// `bodyCode` is set when the body fails.
+IoResult sendStream(Connection &connection, const Clock &clock, const ExchangeRequest &request, Code &bodyCode)
+{
+    BodyStream &body = *request.stream;
+    const bool chunked = !body.length.has_value();
+    std::array<char, BufferBytes> buf;
+    std::string_view head = request.head;
+    IoResult out;
+    const auto send = [&](std::span<const std::string_view> parts) {
+        const IoResult sent = connection.send(parts, request.deadline - clock.now());
+        out.bytes += sent.bytes;
+        out.end = sent.end;
+        head = {};
+        return sent.end == IoEnd::Done;
+    };
+    body.started = true;
+    while (true) {
+        const BodyRead got = body.read(buf);
+        if (got.state == BodyState::Failed) {
+            bodyCode = got.code;
+            return out;
+        }
+        if (got.state == BodyState::Ended) {
+            send(std::array<std::string_view, 2>{head, chunked ? ChunksEnd : std::string_view()});
+            return out;
+        }
+        if (got.state == BodyState::Data) {
+            const std::string size = chunked ? chunkHeader(got.bytes) : std::string();
+            const std::string_view end = chunked ? std::string_view("\r\n") : std::string_view();
+            if (!send(std::array<std::string_view, 4>{head, size, std::string_view(buf.data(), got.bytes), end})) {
+                return out;
+            }
+        } else {
+            if (!head.empty() && !send(std::array<std::string_view, 1>{head})) {
+                return out;
+            }
+            waitForEither(body.descriptor, connection.descriptor(),
+                          std::min(got.until, request.deadline) - clock.now());
+        }
+        if (!connection.isReusable()) { // the target has sent something
+            out.end = IoEnd::InputPending;
+            return out;
+        }
+        if (clock.now() >= request.deadline) {
+            out.end = IoEnd::TimedOut;
+            return out;
+        }
+    }
+}
+
 /// A connection lost within a response means that the response is truncated.
 Code asTruncated(Code code, bool responseStarted)
 {
@@ -221,9 +306,16 @@
 ExchangeResult exchange(Connection &connection, const Clock &clock, const ExchangeRequest &request)
 {
     ExchangeResult out;
+    Code bodyCode = Code::Ok;
     const std::array<std::string_view, 2> parts{request.head, request.body};
-    const IoResult sent = connection.send(parts, request.deadline - clock.now());
+    const IoResult sent = request.stream != nullptr ? sendStream(connection, clock, request, bodyCode)
+                                                    : connection.send(parts, request.deadline - clock.now());
     out.bytesSent = sent.bytes;
+    if (bodyCode != Code::Ok) {
+        out.code = bodyCode;
+        out.bodyFailed = true;
+        return out;
+    }
     if (sent.end == IoEnd::TimedOut) {
         out.code = Code::AnswerTimeout;
         return out;
--- a/src/back/exchange.h
+++ b/src/back/exchange.h
@@ -16,6 +16,7 @@
     std::string_view method;
     std::string_view head; // request line, fields and blank line
     std::string_view body;
+    BodyStream      *stream = nullptr;      // sent instead of `body`, in chunks if its length is unknown
     TimePoint        deadline = Never;      // for the complete response
     size_t           maxResponseBytes = 0;  // of the body
     bool             closeEndsBody = false; // accept a body without a length that ends with a clean close
@@ -27,6 +28,7 @@
     ResponseHead head;                    // if Ok
     std::string  body;                    // if Ok
     size_t       bytesSent = 0;           // of the request; 0: nothing was sent
+    bool         bodyFailed = false;      // the stream failed with `code`; the request was not sent to its end
     bool         responseStarted = false; // at least one byte of a response was received
     bool         reusable = false;        // the response was complete and no data followed it
 };
--- a/src/back/request_head.cpp
+++ b/src/back/request_head.cpp
@@ -48,7 +48,8 @@
 
 bool hasBody(const CallRequest &request)
 {
-    return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+    return request.stream || !request.body.empty() || request.method == "POST" || request.method == "PUT"
+           || request.method == "PATCH";
 }
 
 } // namespace
@@ -86,8 +87,11 @@
         }
     }
     protocol.write(attempt, timeLeft, out);
-    if (hasBody(request)) {
-        appendField(out, "Content-Length", std::to_string(request.body.size()));
+    if (request.stream && !request.stream->length) {
+        appendField(out, "Transfer-Encoding", "chunked");
+    } else if (hasBody(request)) {
+        const uint64_t length = request.stream ? *request.stream->length : request.body.size();
+        appendField(out, "Content-Length", std::to_string(length));
     }
     out += "\r\n";
     return out;
--- a/src/back/sender.cpp
+++ b/src/back/sender.cpp
@@ -65,6 +65,7 @@
                                      {.method = attempt.request.method,
                                       .head = head,
                                       .body = attempt.request.body,
+                                      .stream = attempt.request.stream.get(),
                                       .deadline = deadline,
                                       .maxResponseBytes = options.maxResponseBytes,
                                       .closeEndsBody = protocol.closeEndsBody});
@@ -79,7 +80,8 @@
     if (result.code != Code::Ok && cancelled) {
         out.code = Code::Cancelled;
     }
-    if (lease.reused && !result.responseStarted && result.code != Code::Ok && out.code != Code::Cancelled) {
+    const bool silent = !result.responseStarted && result.code != Code::Ok && !result.bodyFailed;
+    if (lease.reused && silent && out.code != Code::Cancelled) {
         pool.retireIdle(lease.key, began);
         metrics.count("damask_back_silent_connections_total");
     }
@@ -102,7 +104,7 @@
     if (result.code != Code::Ok) {
         const bool sent = result.bytesSent > 0;
         out.end = sent ? AttemptEnd::Lost : AttemptEnd::NotSent;
-        out.code = sent ? result.code : Code::ConnectFailed;
+        out.code = sent || result.bodyFailed ? result.code : Code::ConnectFailed;
         return;
     }
     if (const auto checked = protocol.check(attempt, result.head); !checked) {
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -99,6 +99,7 @@
     int                       maxAttempts = 0;     // targets that one call may be sent to; 0: the default of three
     int                       rank = 0;            // priority; 0 is the most urgent
     bool                      retryErrors = false; // an idempotent call is retried after a 5xx response
+    bool                      largeBodies = false; // bodies are passed on while they arrive; needs Idempotency::Never
     std::string               unusable;            // why its requests are refused with RuleUnusable; empty: usable
 
     bool operator==(const Rule &) const = default;
--- a/src/front/caller_connection.h
+++ b/src/front/caller_connection.h
@@ -46,6 +46,10 @@
     std::string   out;                 // response being sent
     size_t        sent = 0;            // bytes of out already sent
     size_t        bufferedBytes = 0;   // this connection's part of the total over all connections
+    size_t        callBytes = 0;       // of the gathered body of the call in progress
+    size_t        bodyBytes = 0;       // of a streamed body, received so far
+    TimePoint     bodyBegan{};         // when the first byte of the request with the streamed body was read
+    bool          gathers = false;     // the body of the request being read is not streamed
     uint64_t      requests = 0;        // received on it so far
     bool          close = false;       // close once out has been sent
 };
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -18,6 +18,8 @@
     return buf.data();
 }
 
+constexpr size_t StreamReadBytes = 16UL * 1024; // of a streamed body, received at a time
+
 bool isServable(std::string_view method, std::string_view path)
 {
     return method != "CONNECT" && (path.starts_with('/') || (path == "*" && method == "OPTIONS"));
@@ -29,18 +31,44 @@
 /// refused; the refusal is then ready to send.
 WorkerPool::Task FrontServer::State::startCall(const CallerPtr &it)
 {
-    CompleteRequest complete = it->reader.take();
+    return startCall(it, it->reader.take(), nullptr);
+}
+
+/// As startCall(), for a request whose body is passed on while it arrives.
+WorkerPool::Task FrontServer::State::startStreaming(const CallerPtr &it)
+{
+    const auto stream = std::make_shared<BodyStream>();
+    stream->length = it->reader.bodyLength();
+    stream->descriptor = it->socket.get();
+    stream->read = [this, it](std::span<char> to) {
+        return readBody(*it, to);
+    };
+    CompleteRequest request{it->reader.head(), {}};
+    it->bodyBytes = 0;
+    it->bodyBegan = it->firstByteAt;
+    it->reader.startBody();
+    WorkerPool::Task call = startCall(it, std::move(request), stream);
+    it->close = it->close || !call; // the body of a refused request is discarded
+    return call;
+}
+
+WorkerPool::Task FrontServer::State::startCall(const CallerPtr &it, CompleteRequest request,
+                                               std::shared_ptr<BodyStream> stream)
+{
+    it->callBytes = request.body.size();
+    it->gathers = false;
     updateBufferedBytes(*it);
     setDeadline(*it, Never);
     requests.Increment();
     ++it->requests;
     it->head = {};
-    it->head.line = complete.head.line;
-    it->head.close = complete.head.close;
-    it->head.keepAlive = complete.head.keepAlive;
+    it->head.line = request.head.line;
+    const bool closes = request.head.close;
+    it->head.close = closes || stream; // a refusal leaves the rest of a streamed body unread
+    it->head.keepAlive = request.head.keepAlive;
     const TimePoint arrivedAt = it->firstByteAt == Never ? clock.now() : it->firstByteAt;
     it->firstByteAt = it->reader.idle() ? Never : clock.now();
-    auto call = toCallRequest(std::move(complete),
+    auto call = toCallRequest(std::move(request),
                               {it->peer, arrivedAt,
                                [this] {
                                    return makeRequestId(random);
@@ -55,6 +83,8 @@
                          {Code::EntryBusy, "all workers available to calls of this depth are in use"});
         return nullptr;
     }
+    it->head.close = closes;
+    call->stream = std::move(stream);
     const auto cancel = std::make_shared<CancelToken>();
     {
         LockGuard lock(mutex);
@@ -67,6 +97,60 @@
     };
 }
 
+/// Asks the hook once for each request with a large body.
+bool FrontServer::State::mayStream(CallerConnection &it)
+{
+    if (!streams || it.gathers || !it.reader.bodyExceeds(options.gatherBytes)) {
+        return false;
+    }
+    const RequestHead &head = it.reader.head();
+    const auto call = toCallRequest({head, {}},
+                                    {it.peer, it.firstByteAt,
+                                     [] {
+                                         return std::string();
+                                     }},
+                                    protocol);
+    if (call) {
+        CallRequest asked = *call;
+        const size_t path = head.line.find(' ') + 1;
+        asked.method = head.line.substr(0, head.line.find(' '));
+        asked.path = head.line.substr(path, head.line.find(' ', path) - path);
+        it.gathers = !streams(asked);
+    }
+    return !it.gathers; // a malformed request is refused without its body
+}
+
+/// Reads what has arrived of a streamed body; on the thread that serves the call. A trickle is given up like that of a
+/// gathered body.
+BodyRead FrontServer::State::readBody(CallerConnection &it, std::span<char> to)
+{
+    while (true) {
+        const auto n = it.reader.readBody(to);
+        updateBufferedBytes(it);
+        if (!n) {
+            return {.state = BodyState::Failed, .code = n.error().code};
+        }
+        if (*n > 0) {
+            return {.state = BodyState::Data, .bytes = *n};
+        }
+        if (it.reader.bodyEnded()) {
+            return {.state = BodyState::Ended};
+        }
+        std::array<char, StreamReadBytes> buf;
+        const Transfer received = receiveInto(it.socket.get(), buf);
+        if (received.end == TransferEnd::Closed) {
+            return {.state = BodyState::Failed, .code = Code::Cancelled};
+        }
+        if (received.end == TransferEnd::WouldBlock) {
+            const TimePoint until = readDeadline(it.bodyBegan, it.bodyBytes);
+            return clock.now() < until ? BodyRead{.state = BodyState::Waiting, .until = until}
+                                       : BodyRead{.state = BodyState::Failed, .code = Code::SlowSender};
+        }
+        it.bodyBytes += received.bytes;
+        it.reader.append({buf.data(), received.bytes});
+    }
+}
+
 void FrontServer::State::serve(const CallerPtr &it, CallRequest &call, CancelToken &cancel)
 {
     ++taskCount;
@@ -80,8 +164,13 @@
         call.path = path;
         return handleCall(call, cancel);
     };
-    EncodedResponse response = exchange.run(it->head, call.requestId, hook);
+    // The rest of a body that was not read to its end must not be taken for a request.
+    EncodedResponse response = exchange.run(it->head, call.requestId, hook, [&] { return !it->reader.bodyEnded(); });
     admission.release();
+    if (call.stream) {
+        it->firstByteAt = it->reader.idle() ? Never : clock.now();
+    }
+    it->callBytes = 0;
     it->out = std::move(response.bytes);
     it->close = response.close || cancel.cancelled();
     WorkerPool::Task next = drive(it);
--- a/src/front/chunked.cpp
+++ b/src/front/chunked.cpp
@@ -28,9 +28,14 @@
     return m_body;
 }
 
+bool ChunkedReader::ended() const
+{
+    return m_state == State::Ended;
+}
+
 Result<bool> ChunkedReader::take(std::string_view &bytes)
 {
-    while (!bytes.empty()) {
+    while (!bytes.empty() && !ended()) {
         if (m_state == State::Data) {
             readData(bytes);
             continue;
@@ -44,7 +49,7 @@
             break;
         }
     }
-    return false;
+    return ended();
 }
 
 void ChunkedReader::readData(std::string_view &bytes)
@@ -84,6 +89,7 @@
     if (m_trailerBytes > MaxTrailerBytes) {
         return fail(Code::HeaderTooLarge, "the trailer is too large");
     }
+    m_state = line.empty() ? State::Ended : State::Trailer;
     return line.empty();
 }
 
@@ -94,9 +100,10 @@
     if (digits.empty() || digits.size() > MaxSizeDigits || ec != std::errc() || end != digits.data() + digits.size()) {
         return fail(Code::BadRequest, "a chunk size is not a valid hexadecimal number");
     }
-    if (m_chunkBytesLeft > m_maxBodyBytes - m_body.size()) {
+    if (m_chunkBytesLeft > m_maxBodyBytes - m_bodyBytes) {
         return fail(Code::BodyTooLarge, "the body is larger than the limit");
     }
+    m_bodyBytes += m_chunkBytesLeft;
     m_state = m_chunkBytesLeft == 0 ? State::Trailer : State::Data;
     return {};
 }
--- a/src/front/chunked.h
+++ b/src/front/chunked.h
@@ -15,8 +15,9 @@
 
     /// Consumes a prefix of `bytes`; returns true once the last chunk and the trailer have been read.
     Result<bool>       take(std::string_view &bytes);
-    std::string       &body(); // decoded so far
+    std::string       &body(); // decoded and not yet removed
     const std::string &body() const;
+    bool               ended() const;
 
 private:
     enum class State {
@@ -24,6 +25,7 @@
         Data,
         DataEnd,
         Trailer,
+        Ended,
     };
 
     Result<bool> parseLine(std::string_view &bytes);
@@ -33,6 +35,7 @@
     size_t      m_maxBodyBytes;
     State       m_state = State::Size;
     size_t      m_chunkBytesLeft = 0; // bytes of the current chunk not yet received
+    size_t      m_bodyBytes = 0;      // of all chunks announced so far
     size_t      m_trailerBytes = 0;   // read and discarded
     std::string m_body;
 };
--- a/src/front/drive.cpp
+++ b/src/front/drive.cpp
@@ -2,6 +2,7 @@
 
 #include "base/check.h"
 
+#include <algorithm>
 #include <sys/socket.h>
 
 namespace damask {
@@ -33,6 +34,11 @@
             refuseAndClose(*it, {Code::EntryBusy, "too many bytes of requests and responses are buffered"});
         } else if (it->reader.takeContinueDue()) {
             it->out = Continue;
+        } else if (mayStream(*it)) {
+            WorkerPool::Task call = startStreaming(it);
+            if (call) {
+                return call;
+            }
         } else {
             parkForReading(it);
             return nullptr;
@@ -69,7 +75,9 @@
 void FrontServer::State::linger(const CallerPtr &it)
 {
     ::shutdown(it->socket.get(), SHUT_WR);
-    park(it, Phase::Lingering, EPOLLIN | EPOLLRDHUP, clock.now() + LingerTimeout);
+    // A caller may read the response only after it has sent the rest of its body, which is discarded.
+    const Duration rest = it->reader.bodyEnded() ? Duration::zero() : Duration(requestTimeout.load());
+    park(it, Phase::Lingering, EPOLLIN | EPOLLRDHUP, clock.now() + std::max(LingerTimeout, rest));
 }
 
 void FrontServer::State::parkForReading(const CallerPtr &it)
@@ -79,7 +87,8 @@
         it->firstByteAt = Never;
         it->idleSince = clock.now();
     }
-    if (!park(it, Phase::Reading, EPOLLIN | EPOLLRDHUP, idle ? idleEnd(*it) : readDeadline(*it))) {
+    if (!park(it, Phase::Reading, EPOLLIN | EPOLLRDHUP,
+              idle ? idleEnd(*it) : readDeadline(it->firstByteAt, it->bufferedBytes))) {
         linger(it);
     }
 }
@@ -114,10 +123,10 @@
 }
 
 /// Every byte received extends the deadline, so that a large body on a slow link is accepted but a trickle is not.
-TimePoint FrontServer::State::readDeadline(const CallerConnection &it) const
+TimePoint FrontServer::State::readDeadline(TimePoint began, size_t received) const
 {
-    const double earnedSeconds = static_cast<double>(it.bufferedBytes) / static_cast<double>(options.minBytesPerSecond);
-    return it.firstByteAt + Duration(requestTimeout.load()) + fromMilliseconds(earnedSeconds * 1000);
+    const double earnedSeconds = static_cast<double>(received) / static_cast<double>(options.minBytesPerSecond);
+    return began + Duration(requestTimeout.load()) + fromMilliseconds(earnedSeconds * 1000);
 }
 
 /// Time at which an idle connection is closed, by the idle timeout currently in force.
@@ -135,10 +144,11 @@
     }
 }
 
-/// Updates the total of buffered bytes with the incomplete request and the unsent response of this connection.
+/// Updates the total of buffered bytes with the incomplete request, the body of the call in progress and the unsent
+/// response of this connection.
 void FrontServer::State::updateBufferedBytes(CallerConnection &it)
 {
-    const size_t now = it.reader.bufferedBytes() + it.out.size();
+    const size_t now = it.reader.bufferedBytes() + it.out.size() + it.callBytes;
     bufferedBytes += now - it.bufferedBytes; // unsigned wrap-around subtracts when the amount shrank
     it.bufferedBytes = now;
 }
--- a/src/front/exchange.cpp
+++ b/src/front/exchange.cpp
@@ -184,9 +184,10 @@
 
 HttpExchange::~HttpExchange() = default;
 
-EncodedResponse HttpExchange::run(const RequestHead &head, std::string_view requestId, const ResponseHook &hook)
+EncodedResponse HttpExchange::run(const RequestHead &head, std::string_view requestId, const ResponseHook &hook,
+                                  const std::function<bool()> &mustClose)
 {
-    return runWith(head, requestId, hook, m_draining);
+    return runWith(head, requestId, hook, [&] { return m_draining() || (mustClose && mustClose()); });
 }
 
 EncodedResponse HttpExchange::runWith(const RequestHead &head, std::string_view requestId, const ResponseHook &hook,
--- a/src/front/exchange.h
+++ b/src/front/exchange.h
@@ -29,8 +29,10 @@
     explicit HttpExchange(std::function<bool()> draining, CallerProtocol protocol = defaultCallerProtocol());
     ~HttpExchange();
 
-    /// Calls the hook at most once; not at all if the request line is malformed, which is answered with BadRequest.
-    EncodedResponse run(const RequestHead &head, std::string_view requestId, const ResponseHook &hook);
+    /// Calls the hook at most once; not at all if the request line is malformed, which is answered with BadRequest. The
+    /// connection is closed also if `mustClose` returns true after the hook.
+    EncodedResponse run(const RequestHead &head, std::string_view requestId, const ResponseHook &hook,
+                        const std::function<bool()> &mustClose = {});
 
     /// Encodes the response to a request that could not be parsed; the caller of this function closes the connection.
     std::string encodeRefusal(const CallResponse &response);
--- a/src/front/request_reader.cpp
+++ b/src/front/request_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "base/check.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace damask {
@@ -104,6 +105,62 @@
     return complete;
 }
 
+const RequestHead &RequestReader::head() const
+{
+    DAMASK_ASSERT(m_head, "call head() only after bodyExceeds() returned true");
+    return *m_head;
+}
+
+bool RequestReader::bodyExceeds(size_t n) const
+{
+    if (!m_head || m_bodyStarted) {
+        return false;
+    }
+    return m_chunks ? m_chunks->body().size() > n : m_head->bodyKind == BodyKind::Sized && m_head->bodyBytes > n;
+}
+
+std::optional<uint64_t> RequestReader::bodyLength() const
+{
+    return m_chunks ? std::nullopt : std::optional<uint64_t>(head().bodyBytes);
+}
+
+void RequestReader::startBody()
+{
+    m_bodyStarted = true;
+    m_bodyLeft = m_chunks ? 0 : head().bodyBytes;
+}
+
+Result<size_t> RequestReader::readBody(std::span<char> to)
+{
+    size_t n = 0;
+    if (m_chunks) {
+        std::string_view left = unread();
+        const auto ended = m_chunks->take(left);
+        discard(unread().size() - left.size());
+        if (!ended) {
+            return tl::make_unexpected(ended.error());
+        }
+        std::string &body = m_chunks->body();
+        n = body.copy(to.data(), to.size());
+        body.erase(0, n);
+    } else {
+        n = unread().copy(to.data(), std::min(to.size(), m_bodyLeft));
+        discard(n);
+        m_bodyLeft -= n;
+    }
+    if (m_chunks ? m_chunks->ended() && m_chunks->body().empty() : m_bodyLeft == 0) {
+        m_bodyStarted = false;
+        m_chunks.reset();
+        m_head.reset();
+    }
+    return n;
+}
+
+bool RequestReader::bodyEnded() const
+{
+    return !m_bodyStarted;
+}
+
 std::string_view RequestReader::unread() const
 {
     return std::string_view(m_bytes).substr(m_start);
--- a/src/front/request_reader.h
+++ b/src/front/request_reader.h
@@ -2,13 +2,17 @@
 ///
 /// Use: `reader.append(bytes); auto complete = reader.advance();` and, when true, `reader.take()`.
 /// Bytes that follow the request (pipelining) stay buffered for the next advance().
+/// A large body can be read while it arrives: after head() with `bodyExceeds(n)`, call startBody(), then readBody()
+/// until bodyEnded(). advance() may be called again once the body has ended.
 #pragma once
 
 #include "base/result.h"
 #include "front/chunked.h"
 #include "front/head.h"
 
+#include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -38,6 +42,13 @@
     size_t          bufferedBytes() const; // counted towards the limit over all connections
     bool            takeContinueDue();     // true once if the caller waits for 100 Continue
 
+    const RequestHead      &head() const;                 // while its body is incomplete
+    bool                    bodyExceeds(size_t n) const;  // it is incomplete, and known to have more than n bytes
+    std::optional<uint64_t> bodyLength() const;           // of an incomplete body; none: unknown until its end
+    void                    startBody();                  // the body is read by readBody() from now on
+    Result<size_t>          readBody(std::span<char> to); // bytes read, 0: none have arrived; BadRequest, BodyTooLarge
+    bool                    bodyEnded() const;            // true also if no body was started
+
 private:
     Result<bool>     advanceHead();
     Result<bool>     advanceBody();
@@ -52,6 +63,8 @@
     std::optional<RequestHead>   m_head;
     std::optional<ChunkedReader> m_chunks;
     std::string                  m_body;
+    size_t                       m_bodyLeft = 0; // bytes of a started body that readBody() has not returned
+    bool                         m_bodyStarted = false;
     bool                         m_continueDue = false;
 };
 
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -19,12 +19,13 @@
 
 } // namespace
 
-FrontServer::State::State(Clock &c, Metrics &m, const FrontOptions &o, CallHandler h, CallerProtocol p)
+FrontServer::State::State(Clock &c, Metrics &m, const FrontOptions &o, CallHandler h, CallerProtocol p, StreamHook s)
     : clock(c)
     , metrics(m)
     , options(o)
     , handler(std::move(h))
     , protocol(std::move(p))
+    , streams(std::move(s))
     , exchange([this] { return draining.load(); }, protocol)
     , admission(o.admission)
     , random(systemRandom())
@@ -44,8 +45,9 @@
 }
 
 FrontServer::FrontServer(Clock &clock, Metrics &metrics, const FrontOptions &options, CallHandler handler,
-                         CallerProtocol protocol)
-    : m_state(std::make_unique<State>(clock, metrics, options, std::move(handler), std::move(protocol)))
+                         CallerProtocol protocol, StreamHook streams)
+    : m_state(
+        std::make_unique<State>(clock, metrics, options, std::move(handler), std::move(protocol), std::move(streams)))
 {
 }
 
--- a/src/front/server.h
+++ b/src/front/server.h
@@ -34,11 +34,16 @@
     size_t           minBytesPerSecond = 16 * 1024;             // requestTimeout grows by 1 s per this many bytes
     Duration         writeTimeout = std::chrono::seconds(10);   // without progress in sending a response
     Duration         retryAfter = std::chrono::seconds(1);      // sent with EntryBusy and TooManyConnections
+    size_t           gatherBytes = 64 * 1024;                   // of a body that could be passed on while it arrives
 };
 
 /// Handles one call on a worker. The token is cancelled when the caller closes its connection.
 using CallHandler = std::function<CallResponse(const CallRequest &, CancelToken &)>;
 
+/// Whether the body of a call is passed on while it arrives, as CallRequest::stream, once it is known to be larger than
+/// gatherBytes. Called on the poller with method, path and fields, but no body.
+using StreamHook = std::function<bool(const CallRequest &)>;
+
 /// Current state and counters of a FrontServer.
 struct FrontStatus {
     size_t   connections = 0;   // open connections
@@ -52,7 +57,7 @@
 {
 public:
     FrontServer(Clock &clock, Metrics &metrics, const FrontOptions &options, CallHandler handler,
-                CallerProtocol protocol = defaultCallerProtocol());
+                CallerProtocol protocol = defaultCallerProtocol(), StreamHook streams = {});
     ~FrontServer(); // calls stop()
 
     Result<void> start(); // SystemError if the port can't be opened
--- a/src/front/state.h
+++ b/src/front/state.h
@@ -18,7 +18,8 @@
 namespace damask {
 
 struct FrontServer::State {
-    State(Clock &clock, Metrics &metrics, const FrontOptions &options, CallHandler handler, CallerProtocol protocol);
+    State(Clock &clock, Metrics &metrics, const FrontOptions &options, CallHandler handler, CallerProtocol protocol,
+          StreamHook streams);
 
     // poller.cpp: on the poller's thread, which is the worker currently running poll()
     void poll();
@@ -42,12 +43,16 @@
     bool             park(const CallerPtr &it, Phase phase, uint32_t events, TimePoint deadline);
     void             close(const CallerPtr &it);
     TimePoint        idleEnd(const CallerConnection &it) const;
-    TimePoint        readDeadline(const CallerConnection &it) const;
+    TimePoint        readDeadline(TimePoint began, size_t received) const;
     void             setDeadline(CallerConnection &it, TimePoint deadline);
     void             updateBufferedBytes(CallerConnection &it);
 
     // calls.cpp: requests and responses
-    WorkerPool::Task startCall(const CallerPtr &it); // null: refused, and the refusal is ready to send
+    WorkerPool::Task startCall(const CallerPtr &it);      // null: refused, and the refusal is ready to send
+    WorkerPool::Task startStreaming(const CallerPtr &it); // the same, before the body is complete
+    WorkerPool::Task startCall(const CallerPtr &it, CompleteRequest request, std::shared_ptr<BodyStream> stream);
+    bool             mayStream(CallerConnection &it);
+    BodyRead         readBody(CallerConnection &it, std::span<char> to);
     void             serve(const CallerPtr &it, CallRequest &call, CancelToken &cancel);
     CallResponse     handleCall(const CallRequest &call, CancelToken &cancel);
     void             respondWithError(CallerConnection &it, std::string_view requestId, const Error &error);
@@ -62,6 +67,7 @@
     FrontOptions   options;
     CallHandler    handler;
     CallerProtocol protocol;
+    StreamHook     streams;
     HttpExchange   exchange;
     Admission      admission;
     RandomSource   random;
--- a/src/programs/damask-node/node.cpp
+++ b/src/programs/damask-node/node.cpp
@@ -93,7 +93,7 @@
     , front(
           c, m, o.front,
           [this](const CallRequest &call, CancelToken &cancel) { return dispatcher.dispatch(call, cancel); },
-          protocol.caller)
+          protocol.caller, [this](const CallRequest &call) { return dispatcher.streamsBody(call); })
     , store(c, m, o.store, protocol.store)
     , follower(c, m, store, followerOptions(),
                {.readConfiguration =
--- a/src/route/dispatcher.cpp
+++ b/src/route/dispatcher.cpp
@@ -51,6 +51,12 @@
     out.asked = static_cast<uint16_t>(permit.asked);
 }
 
+/// As far as it is known in advance.
+size_t bodyBytes(const CallRequest &request)
+{
+    return request.stream ? static_cast<size_t>(request.stream->length.value_or(0)) : request.body.size();
+}
+
 /// Whether a call is always logged: it was not answered, returned an error status, exceeded its objective or needed
 /// more than one attempt.
 bool isNotable(const CallTrace &trace)
@@ -139,7 +145,7 @@
                                            .deadline = call.deadline,
                                            .idempotent = call.idempotent,
                                            .avoid = call.avoid,
-                                           .bodyBytes = call.request.body.size(),
+                                           .bodyBytes = bodyBytes(call.request),
                                            .rank = call.route.rule->rank,
                                            .objective = call.route.rule->objective,
                                            .cancel = &cancel});
@@ -209,6 +215,7 @@
                                          .sent = call.sent - (last.end == AttemptEnd::NotSent ? 1 : 0),
                                          .maxSent = call.route.rule->maxAttempts,
                                          .retryErrors = call.route.rule->retryErrors,
+                                         .bodySent = call.request.stream && call.request.stream->started,
                                          .timeLeft = call.deadline - now});
     if (out != RetryDenial::None) {
         return out;
@@ -306,6 +313,13 @@
     }
 }
 
+bool Dispatcher::streamsBody(const CallRequest &request) const
+{
+    const auto routes = m_state->current();
+    const Rule *rule = routes ? routes->match(request.host, request.path) : nullptr;
+    return rule != nullptr && rule->largeBodies && !isIdempotent(*rule, request.method);
+}
+
 CallResponse Dispatcher::dispatch(const CallRequest &request, CancelToken &cancel)
 {
     CallState call{.request = request};
--- a/src/route/dispatcher_call.cpp
+++ b/src/route/dispatcher_call.cpp
@@ -13,6 +13,10 @@
     switch (code) {
     case Code::BadRequest:
         return 400;
+    case Code::SlowSender:
+        return 408;
+    case Code::BodyTooLarge:
+        return 413;
     case Code::NoSuchService:
     case Code::NoRule:
         return 404;
@@ -99,6 +103,8 @@
     } else if (code == Code::Cancelled || call.possiblyRun > 0) {
         out =
             errorResponse(code == Code::Cancelled || call.unknownCode == Code::Ok ? Code::Cancelled : call.unknownCode);
+        out.outcome = Outcome::Unknown;
+        out.status = out.status == 408 ? 504 : out.status; // 408 would promise that it has not run
     } else {
         out = errorResponse(call.notRunCode != Code::Ok ? call.notRunCode : code);
     }
--- a/src/route/dispatcher_table.cpp
+++ b/src/route/dispatcher_table.cpp
@@ -28,10 +28,15 @@
     }
 }
 
+const Rule *RouteTable::match(std::string_view host, std::string_view path) const
+{
+    return matchRule(m_configuration->rules, host, path);
+}
+
 Route RouteTable::find(std::string_view host, std::string_view path) const
 {
     Route out;
-    out.rule = matchRule(m_configuration->rules, host, path);
+    out.rule = match(host, path);
     if (out.rule == nullptr) {
         return out;
     }
--- a/src/route/dispatcher_table.h
+++ b/src/route/dispatcher_table.h
@@ -47,6 +47,7 @@
     /// If the matching rule is split, the services take turns, so that each gets its share even of a small number of
     /// calls.
     Route         find(std::string_view host, std::string_view path) const;
+    const Rule   *match(std::string_view host, std::string_view path) const; // without choosing a service
     uint64_t      revision() const;
     const States &states() const;
 
--- a/src/route/retry.cpp
+++ b/src/route/retry.cpp
@@ -53,6 +53,8 @@
         return "deadline";
     case RetryDenial::Budget:
         return "budget";
+    case RetryDenial::BodySent:
+        return "body-sent";
     }
     return "none";
 }
@@ -86,6 +88,9 @@
     if (context.cancelled) {
         return RetryDenial::Cancelled;
     }
+    if (context.bodySent) {
+        return RetryDenial::BodySent;
+    }
     if (!provenNotRun(reason) && !context.idempotent) {
         return RetryDenial::NotIdempotent;
     }
--- a/src/route/retry.h
+++ b/src/route/retry.h
@@ -32,6 +32,7 @@
     Attempts,      // maximum number of attempts reached
     Deadline,      // less than MinRetryTime left
     Budget,        // the retry budget of the service is exhausted
+    BodySent,      // part of the body has been sent and is not kept
 };
 
 std::string_view retryReasonName(RetryReason reason); // metric label, e.g. "not-sent"
@@ -47,6 +48,7 @@
     int                  sent = 1;            // attempts that sent at least one byte
     int                  maxSent = 0;         // the rule's limit of sent attempts; 0: MaxAttempts in total
     bool                 retryErrors = false; // the rule allows retries of 5xx responses
+    bool                 bodySent = false;    // part of a body that is not kept has been sent
     Duration             timeLeft{0};         // until the call's deadline
 };
 
--- a/src/route/service_feedback.cpp
+++ b/src/route/service_feedback.cpp
@@ -23,6 +23,13 @@
 constexpr int FirstServerError = 500;                                 // HTTP status
 constexpr Duration MaxPushBack = std::chrono::seconds(60);            // taken at face value; longer ones count as this
 
+/// Whether the attempt failed because of its caller: it sent its body too slowly, malformed or too large.
+bool isCallersFault(Code code)
+{
+    constexpr int CallersFaults = 3;
+    return codeNumber(code) / 100 == CallersFaults;
+}
+
 /// Whether the target reports far more calls than its limit, so that an ended call must not be replaced by another.
 bool isOverloaded(const TargetEntry &entry, const PermitReport &report)
 {
@@ -97,7 +104,7 @@
         break;
     case AttemptEnd::NotSent:
     case AttemptEnd::Lost:
-        if (report.code == Code::Cancelled || report.code == Code::TargetShares) {
+        if (report.code == Code::Cancelled || report.code == Code::TargetShares || isCallersFault(report.code)) {
             entry.health.trialEnded();
         } else {
             recordFailure(entry, now, "failure");
--- a/tests/platform/test_decode.cpp
+++ b/tests/platform/test_decode.cpp
@@ -147,6 +147,7 @@
         platform::readConfiguration(replaced(ValidConfiguration, "\"kind\":\"unsafe\"", "\"kind\":\"upload\""));
     cr_assert(read && read->refused.empty() && read->rules[1].unusable.empty());
     cr_assert(read->rules[1].idempotency == Idempotency::Never && !read->rules[1].retryErrors);
+    cr_assert(read->rules[1].largeBodies && !read->rules[0].largeBodies);
 }
 
 Test(decode, deep_nesting_is_refused_before_it_takes_memory)
