Bound every read of a reply, from workers and from the store

Cause: the reader of a worker's response bounded its head and its body, but not interim responses, chunk sizes, extensions and trailers, and looked at the deadline only while it waited for bytes: a worker that sends without end held the caller beyond its deadline and took memory without limit. The store client read replies with the library's client, which bounds no header line at all. Bodies of all calls together had no limit (16 MB each). The exchange moves from back to a package of its own, http, which the store client uses too. All response bodies that are being read together get an eighth of the memory, as the buffers of the front have. Ruled out: a watchdog that closes the library's socket (bounds the time, not the memory at 1,000 Mbit/s).

--- a/src/back/connection_pool.h
+++ b/src/back/connection_pool.h
@@ -4,8 +4,8 @@
 /// Use: `auto lease = pool.acquire(key, share, false);` open a connection if it has none, then release() or discard().
 #pragma once
 
-#include "back/connection.h"
 #include "base/clock.h"
+#include "http/connection.h"
 
 #include <memory>
 #include <string>
--- a/src/back/request_head.cpp
+++ b/src/back/request_head.cpp
@@ -1,6 +1,6 @@
 #include "back/request_head.h"
 
-#include "back/field_text.h"
+#include "http/field_text.h"
 
 #include <algorithm>
 #include <array>
@@ -11,25 +11,9 @@
 
 constexpr size_t HeadReserve = 512; // bytes; enough for most heads
 
-constexpr std::array<std::string_view, 9> HopByHop{"Connection", "Keep-Alive",         "Proxy-Connection",
-                                                   "TE",         "Transfer-Encoding",  "Upgrade",
-                                                   "Trailer",    "Proxy-Authenticate", "Proxy-Authorization"};
-
 /// Fields that this file generates for every protocol, or that damaskflow handles itself (Expect).
 constexpr std::array<std::string_view, 3> GeneratedFields{"Host", "Content-Length", "Expect"};
 
-bool listHas(std::string_view list, std::string_view name)
-{
-    while (!list.empty()) {
-        const size_t comma = list.find(',');
-        if (sameHeaderName(trimmed(list.substr(0, comma)), name)) {
-            return true;
-        }
-        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
-    }
-    return false;
-}
-
 bool isGeneratedField(std::string_view name)
 {
     return std::any_of(GeneratedFields.begin(), GeneratedFields.end(),
@@ -68,13 +52,6 @@
     return std::to_string(std::max<int64_t>(n, 1));
 }
 
-bool isHopByHop(std::string_view name, std::string_view connectionField)
-{
-    const bool known =
-        std::any_of(HopByHop.begin(), HopByHop.end(), [name](std::string_view it) { return sameHeaderName(it, name); });
-    return known || listHas(connectionField, name);
-}
-
 std::string requestHead(const Attempt &attempt, Duration timeLeft, const TargetProtocol &protocol)
 {
     const CallRequest &request = attempt.request;
--- a/src/back/request_head.h
+++ b/src/back/request_head.h
@@ -10,10 +10,6 @@
 
 namespace damask {
 
-/// Whether a field applies to a single connection only (RFC 9110, 7.6.1), by its name or because the Connection field
-/// lists it.
-bool isHopByHop(std::string_view name, std::string_view connectionField);
-
 /// Returns the request line, header fields and blank line. The caller's end-to-end fields are passed on unchanged; the
 /// protocol adds its own, such as the remaining time.
 std::string requestHead(const Attempt &attempt, Duration timeLeft, const TargetProtocol &protocol);
--- a/src/back/sender.cpp
+++ b/src/back/sender.cpp
@@ -1,9 +1,11 @@
 #include "back/sender.h"
 
 #include "back/connection_pool.h"
-#include "back/exchange.h"
 #include "back/request_head.h"
+#include "base/scope.h"
+#include "http/exchange.h"
 
+#include <atomic>
 #include <utility>
 
 namespace damask {
@@ -35,6 +37,7 @@
     SenderOptions options;
     TargetProtocol protocol;
     ConnectionPool pool;
+    std::atomic<size_t> bufferedBytes{0}; // of response bodies that are being read
 };
 
 Result<ConnectionLease> Sender::State::connect(const Attempt &attempt, AttemptResult &out)
@@ -61,6 +64,12 @@
     const uint64_t callbackId = attempt.cancel->onCancel([connection] { connection->interrupt(); });
     const TimePoint began = clock.now();
     const std::string head = requestHead(attempt, deadline - began, protocol);
+    size_t reserved = 0;
+    const ScopeGuard release([&] { bufferedBytes -= reserved; });
+    const auto reserve = [&](size_t bytes) {
+        reserved += bytes;
+        return bufferedBytes.fetch_add(bytes) + bytes <= options.maxBufferedBytes;
+    };
     ExchangeResult result = exchange(*connection, clock,
                                      {.method = attempt.request.method,
                                       .head = head,
@@ -68,7 +77,8 @@
                                       .stream = attempt.request.stream.get(),
                                       .deadline = deadline,
                                       .maxResponseBytes = options.maxResponseBytes,
-                                      .closeEndsBody = protocol.closeEndsBody});
+                                      .closeEndsBody = protocol.closeEndsBody,
+                                      .reserve = reserve});
     // Done before the connection is released: a later cancellation must not interrupt its next user.
     attempt.cancel->removeCallback(callbackId);
     const bool cancelled = attempt.cancel->cancelled();
--- a/src/back/sender.h
+++ b/src/back/sender.h
@@ -25,6 +25,7 @@
     Duration idleLimit = std::chrono::seconds(15);        // idle connections older than this are closed, not reused
     Duration freshLimit = std::chrono::milliseconds(500); // a response younger than this proves a connection alive
     size_t   maxResponseBytes = 16UL * 1024 * 1024;       // of one response body; larger ones are AnswerTooLarge
+    size_t   maxBufferedBytes = 256UL * 1024 * 1024;      // of all response bodies that are being read
 };
 
 /// Current number of connections, for status pages and tests.
--- a/src/back/target_protocol.cpp
+++ b/src/back/target_protocol.cpp
@@ -1,9 +1,9 @@
 #include "back/target_protocol.h"
 
-#include "back/field_text.h"
 #include "back/load_report.h"
 #include "back/request_head.h"
 #include "call/headers.h"
+#include "http/field_text.h"
 
 #include <algorithm>
 #include <array>
--- a/src/back/target_protocol.h
+++ b/src/back/target_protocol.h
@@ -4,7 +4,7 @@
 /// Pitfall: a code from refusalCode() is treated as proof that the request did not run and never will.
 #pragma once
 
-#include "back/response_head.h"
+#include "http/response_head.h"
 #include "route/dispatcher.h"
 
 #include <functional>
--- a/src/back/connection.cpp
+++ b/src/http/connection.cpp
@@ -1,4 +1,4 @@
-#include "back/connection.h"
+#include "http/connection.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
--- a/src/back/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -1,4 +1,4 @@
-#include "back/exchange.h"
+#include "http/exchange.h"
 
 #include <algorithm>
 #include <array>
@@ -199,7 +199,7 @@
         return code == Code::Ok && out.head.framing != BodyFraming::None;
     };
     libraryRequest.content_receiver = [&](const char *bytes, size_t n, uint64_t, uint64_t) {
-        if (out.body.size() + n > request.maxResponseBytes) {
+        if (out.body.size() + n > request.maxResponseBytes || (request.reserve && !request.reserve(n))) {
             code = Code::AnswerTooLarge;
             return false;
         }
--- a/src/back/exchange.h
+++ b/src/http/exchange.h
@@ -1,10 +1,14 @@
 /// Sends one request and reads its response over one connection, using cpp-httplib.
+///
+/// Every read is bounded in bytes and in time, whatever the other side sends: endless heads, interim responses, chunk
+/// framing and bodies end with AnswerTooLarge or AnswerTimeout.
 #pragma once
 
-#include "back/connection.h"
-#include "back/response_head.h"
 #include "base/clock.h"
+#include "http/connection.h"
+#include "http/response_head.h"
 
+#include <functional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -20,6 +24,8 @@
     TimePoint        deadline = Never;      // for the complete response
     size_t           maxResponseBytes = 0;  // of the body
     bool             closeEndsBody = false; // accept a body without a length that ends with a clean close
+
+    std::function<bool(size_t bytes)> reserve = {}; // called before more of the body is kept; false: AnswerTooLarge
 };
 
 /// Result of one exchange. The connection may be used again only if reusable is set.
--- a/src/back/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -1,9 +1,8 @@
-#include "back/response_head.h"
-
-#include "back/field_text.h"
-#include "back/request_head.h"
+#include "http/response_head.h"
 
+#include "http/field_text.h"
 #include <algorithm>
+#include <array>
 
 namespace damask {
 
@@ -11,6 +10,22 @@
 
 constexpr size_t MinStatusLineBytes = 12; // bytes of "HTTP/1.1 200"
 
+constexpr std::array<std::string_view, 9> HopByHop{"Connection", "Keep-Alive",         "Proxy-Connection",
+                                                   "TE",         "Transfer-Encoding",  "Upgrade",
+                                                   "Trailer",    "Proxy-Authenticate", "Proxy-Authorization"};
+
+bool listHas(std::string_view list, std::string_view name)
+{
+    while (!list.empty()) {
+        const size_t comma = list.find(',');
+        if (sameHeaderName(trimmed(list.substr(0, comma)), name)) {
+            return true;
+        }
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+    }
+    return false;
+}
+
 bool isTokenByte(char c)
 {
     const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
@@ -92,6 +107,13 @@
 
 } // namespace
 
+bool isHopByHop(std::string_view name, std::string_view connectionField)
+{
+    const bool known =
+        std::any_of(HopByHop.begin(), HopByHop.end(), [name](std::string_view it) { return sameHeaderName(it, name); });
+    return known || listHas(connectionField, name);
+}
+
 Result<ResponseHead> parseResponseHead(std::string_view head, std::string_view method)
 {
     ResponseHead out;
--- a/src/back/response_head.h
+++ b/src/http/response_head.h
@@ -1,4 +1,4 @@
-/// Strict parser for the head of a target's HTTP response.
+/// Strict parser for the head of an HTTP response.
 ///
 /// cpp-httplib 0.11 decodes %xx in header values and treats a malformed length as 0. The fields of a response must be
 /// passed on unchanged and the end of its body must be unambiguous, so the head is parsed here and the library reads
@@ -32,6 +32,10 @@
     bool                     close = false; // the target closes the connection after this response
 };
 
+/// Whether a field applies to a single connection only (RFC 9110, 7.6.1), by its name or because the Connection field
+/// lists it.
+bool isHopByHop(std::string_view name, std::string_view connectionField);
+
 /// Parses a head, including the blank line at its end. BadAnswer if it does not conform to RFC 9112.
 Result<ResponseHead> parseResponseHead(std::string_view head, std::string_view method);
 
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -140,6 +140,7 @@
     out.idleLimit = settings.interval("targets", "idle-limit");
     out.freshLimit = settings.interval("targets", "fresh-limit");
     out.maxResponseBytes = settings.size("targets", "max-answer");
+    out.maxBufferedBytes = countOf(settings, "instance", "memory") * 1024 * 1024 / MemoryToBufferRatio;
     return out;
 }
 
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -2,6 +2,7 @@
 
 #include "base/check.h"
 #include "base/log.h"
+#include "http/exchange.h"
 
 #include <algorithm>
 #include <atomic>
@@ -29,12 +30,6 @@
     Write, // may have taken effect
 };
 
-bool nothingSent(httplib::Error ec)
-{
-    return ec == httplib::Error::Connection || ec == httplib::Error::ConnectionTimeout
-           || ec == httplib::Error::BindIPAddress;
-}
-
 /// A long poll receives nothing for a long time, so only TCP keep-alive can detect that the connection is lost.
 void setKeepAlive(int socket)
 {
@@ -46,6 +41,19 @@
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs, sizeof UserTimeoutMs);
 }
 
+std::string requestHead(const StoreCall &call, const StoreOptions &to)
+{
+    std::string out = call.method + " " + call.path + " HTTP/1.1\r\nHost: " + to.address + ":" + std::to_string(to.port)
+                      + "\r\nConnection: close\r\n";
+    if (!call.body.empty()) {
+        out += "Content-Type: application/json\r\n";
+    }
+    if (!call.body.empty() || call.method != "GET") {
+        out += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+    }
+    return out + "\r\n";
+}
+
 httplib::Request toHttpRequest(const StoreCall &call)
 {
     httplib::Request out;
@@ -88,37 +96,35 @@
         client.set_socket_options([](socket_t it) { setKeepAlive(it); });
     }
 
-    Error failure(CallKind kind, httplib::Error ec) const
+    /// One exchange over a new connection. The whole reply must arrive within `timeout` after the connection is open.
+    Result<StoreReply> exchange(const StoreCall &call, CallKind kind, Duration timeout, CancelToken *cancel)
     {
-        const Code code = kind == CallKind::Read || nothingSent(ec) ? Code::StoreUnavailable : Code::StoreUnknown;
-        return {code, httplib::to_string(ec)};
-    }
-
-    /// One exchange over a new connection. `readTimeout` bounds each wait for data; the whole reply must arrive within
-    /// readTimeout plus connectTimeout.
-    Result<StoreReply> exchange(httplib::Request request, CallKind kind, Duration readTimeout, CancelToken *cancel)
-    {
-        httplib::Client client(options.address, options.port);
-        configure(client, readTimeout);
-        const TimePoint deadline = clock.now() + readTimeout + options.connectTimeout;
-        StoreReply reply;
-        request.content_receiver = [&](const char *data, size_t n, uint64_t, uint64_t) {
-            reply.body.append(data, n);
-            return reply.body.size() <= MaxReplyBytes && clock.now() < deadline;
-        };
-        const uint64_t callbackId = cancel == nullptr ? 0 : cancel->onCancel([&client] { client.stop(); });
-        const httplib::Result result = client.send(request);
+        auto opened = Connection::open(options.address, options.port, options.connectTimeout);
+        if (!opened) {
+            return fail(Code::StoreUnavailable, opened.error().detail);
+        }
+        const std::shared_ptr<Connection> connection = std::move(*opened);
+        setKeepAlive(connection->descriptor());
+        const uint64_t callbackId = cancel == nullptr ? 0 : cancel->onCancel([connection] { connection->interrupt(); });
+        const std::string head = requestHead(call, options);
+        ExchangeResult result = damask::exchange(*connection, clock,
+                                                 {.method = call.method,
+                                                  .head = head,
+                                                  .body = call.body,
+                                                  .deadline = clock.now() + timeout,
+                                                  .maxResponseBytes = MaxReplyBytes,
+                                                  .closeEndsBody = true});
         if (cancel != nullptr) {
             cancel->removeCallback(callbackId);
             if (cancel->cancelled()) {
                 return fail(Code::Cancelled, "the call was cancelled locally");
             }
         }
-        if (!result) {
-            return tl::make_unexpected(failure(kind, result.error()));
+        if (result.code != Code::Ok) {
+            const bool unknown = kind == CallKind::Write && result.bytesSent > 0;
+            return fail(unknown ? Code::StoreUnknown : Code::StoreUnavailable, codeName(result.code));
         }
-        reply.status = result->status;
-        return reply;
+        return StoreReply{result.head.status, std::move(result.body)};
     }
 
     /// Passes on replies that the protocol has to decode: the store executed the call, or understood and refused it.
@@ -139,10 +145,9 @@
     auto call(std::string_view name, const StoreCall &call, CallKind kind, const Read &read,
               Duration wait = Duration::zero(), CancelToken *cancel = nullptr) -> decltype(read(StoreReply()))
     {
-        auto reply =
-            exchange(toHttpRequest(call), kind, options.callTimeout + wait, cancel).and_then([&](StoreReply it) {
-                return checkStatus(std::move(it), kind);
-            });
+        auto reply = exchange(call, kind, options.callTimeout + wait, cancel).and_then([&](StoreReply it) {
+            return checkStatus(std::move(it), kind);
+        });
         if (!reply) {
             recordOutcome(name, reply.error().code);
             return tl::make_unexpected(reply.error());
--- /dev/null
+++ b/tests/store/test_endless.cpp
@@ -0,0 +1,37 @@
+// A store that sends bytes without end: each call ends within its bounds, and the client can be used on.
+#include "fakes/fake_flood.h"
+#include "store/client.h"
+
+#include <criterion/criterion.h>
+
+using namespace damask;
+using namespace std::chrono_literals;
+
+Test(endless_store, replies_are_bounded_in_bytes_and_in_time)
+{
+    constexpr size_t MaxBytes = 24UL * 1024 * 1024; // the largest reply and what the system buffers
+    const std::pair<std::string, std::string> floods[] = {
+        {"", "H"},
+        {"HTTP/1.1 200 OK\r\nX: ", "x"},
+        {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "x"},
+        {"HTTP/1.1 200 OK\r\n\r\n", "{"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\n{{{{{\r\n"},
+    };
+    for (const auto &[start, unit] : floods) {
+        const FakeFlood flood(start, unit);
+        Clock clock;
+        Metrics metrics;
+        StoreOptions options;
+        options.port = flood.port();
+        options.callTimeout = 1s;
+        StoreClient client(clock, metrics, options);
+        const TimePoint began = clock.now();
+        const auto got = client.get("some/key");
+        cr_assert(!got && got.error().code == Code::StoreUnavailable, "%s", start.c_str());
+        cr_assert(clock.now() - began < 3s, "%s", start.c_str());
+        cr_assert(flood.sent() < MaxBytes, "%s: %zu bytes", start.c_str(), flood.sent());
+    }
+}
