route: weigh the bytes of a large body against waiting nearby

Cause: distance cost a call 10 ms in another data centre and 400 ms in another region, whatever its size. Change: costPerMegabyte (2 s) of the request's body is added to the time that a target elsewhere has to save; the setting [route] cost-per-megabyte. A streamed body of unknown length counts as 256 KB. Ruled out: a higher cost for every call (it opens waits for calls that carry no bytes); a limit of bytes a second as for regions (it refuses where waiting would do). Test: reports::a_large_body_waits_longer_for_a_target_nearby (names a new option).

--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -65,6 +65,9 @@
      "Time that a target in another data centre must save, on top of the link delay.", 0, 60000},
     {"route", "other-region-cost", SettingType::Interval, "400 ms",
      "Time that a target in another region must save, on top of the link delay.", 0, 60000},
+    {"route", "cost-per-megabyte", SettingType::Interval, "2 s",
+     "Added to both for each MB of a request's body, which is sent to a target nearby if that is soon enough.", 0,
+     600000},
     {"route", "come-back-share", SettingType::Fraction, "0.1",
      "Share of its remaining time after which a refused caller may retry.", 0, 1},
     {"log", "each", SettingType::Number, "64",
@@ -224,6 +227,7 @@
     out.balancer.dataCentre = settings.text("instance", "data-centre");
     out.balancer.otherDataCentreCost = settings.interval("route", "elsewhere-cost");
     out.balancer.otherRegionCost = settings.interval("route", "other-region-cost");
+    out.balancer.costPerMegabyte = settings.interval("route", "cost-per-megabyte");
     out.selectionProbe = {.probesPerRound = countOf(settings, "look", "at-once"),
                           .rounds = countOf(settings, "look", "rounds"),
                           .timeout = settings.interval("look", "patience"),
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -125,6 +125,7 @@
     double      queueShare = 1;         // share of a call's latency objective that it may spend queued
     Duration    otherDataCentreCost{0}; // time that a target there must save to be chosen; added to its link delay
     Duration    otherRegionCost{0};     // the same for a target in another region
+    Duration    costPerMegabyte{0};     // of request body, added to both: large bodies are worth more waiting nearby
 };
 
 /// A target was ejected because of failures, or reinstated.
--- a/src/route/dispatcher.cpp
+++ b/src/route/dispatcher.cpp
@@ -16,6 +16,7 @@
 constexpr double SnapshotBurst = 20;
 constexpr double LogLinesPerSecond = 50; // call log lines; the metrics count every call
 constexpr double LogLineBurst = 200;
+constexpr uint64_t UnknownBodyBytes = 256UL * 1024; // assumed of a streamed body whose length is not known in advance
 
 float toFloatMs(Duration duration)
 {
@@ -51,10 +52,10 @@
     out.asked = static_cast<uint16_t>(permit.asked);
 }
 
-/// As far as it is known in advance.
 size_t bodyBytes(const CallRequest &request)
 {
-    return request.stream ? static_cast<size_t>(request.stream->length.value_or(0)) : request.body.size();
+    return request.stream ? static_cast<size_t>(request.stream->length.value_or(UnknownBodyBytes))
+                          : request.body.size();
 }
 
 /// Whether a call is always logged: it was not answered, returned an error status, exceeded its objective or needed
--- a/src/route/service_table.cpp
+++ b/src/route/service_table.cpp
@@ -362,11 +362,11 @@
         return;
     }
     entry.lastSequence = m_sequence;
-    m_views.push_back(viewOf(entry, now));
+    m_views.push_back(viewOf(entry, request.bodyBytes, now));
     m_views.back().index = static_cast<uint32_t>(index);
 }
 
-TargetView ServiceTable::viewOf(const TargetEntry &entry, TimePoint now) const
+TargetView ServiceTable::viewOf(const TargetEntry &entry, size_t bodyBytes, TimePoint now) const
 {
     const TargetLoad &load = entry.load;
     const bool reported = load.lastReport() >= 0;
@@ -379,7 +379,7 @@
     view.oldestCall = static_cast<float>(toMilliseconds(load.oldestCall(now)));
     view.typicalTime = load.typicalTime() > 0 ? load.typicalTime() : m_fleetTime;
     view.fleetTime = m_fleetTime;
-    view.linkDelay = static_cast<float>(toMilliseconds(entry.linkDelay + distanceCost(entry)));
+    view.linkDelay = static_cast<float>(toMilliseconds(entry.linkDelay + distanceCost(entry, bodyBytes)));
     view.slowdown = load.slowdown(now, m_aging) * (now < entry.coldStartUntil ? ColdSlowdown : 1);
     view.penalty = (now < entry.unresponsiveUntil ? UnresponsivePenalty : 1) * (entry.unhealthy ? UnhealthyPenalty : 1);
     view.slowStartShare = entry.health.slowStartShare(now);
@@ -391,12 +391,14 @@
     return view;
 }
 
-Duration ServiceTable::distanceCost(const TargetEntry &entry) const
+Duration ServiceTable::distanceCost(const TargetEntry &entry, size_t bodyBytes) const
 {
-    if (entry.otherRegion) {
-        return m_options.otherRegionCost;
+    if (entry.linkDelay == Duration(0)) {
+        return Duration(0);
     }
-    return entry.linkDelay > Duration(0) ? m_options.otherDataCentreCost : Duration(0);
+    const double megabytes = static_cast<double>(bodyBytes) / (1024 * 1024);
+    const Duration forBody = fromMilliseconds(toMilliseconds(m_options.costPerMegabyte) * megabytes);
+    return forBody + (entry.otherRegion ? m_options.otherRegionCost : m_options.otherDataCentreCost);
 }
 
 std::vector<TargetCandidate> ServiceTable::bestCandidates(const AcquireRequest &request, TimePoint now, size_t limit)
@@ -456,7 +458,7 @@
     permit.service = m_service.name;
     permit.grantedAt = now;
     permit.waited = waited;
-    const TargetView view = viewOf(target, now);
+    const TargetView view = viewOf(target, request.bodyBytes, now);
     permit.snapshot = {.reportAge = target.load.lastReport() >= 0 ? view.reportAge : -1,
                        .estimate = static_cast<float>(view.estimate),
                        .slowdown = view.slowdown,
--- a/src/route/service_table.h
+++ b/src/route/service_table.h
@@ -100,8 +100,8 @@
     void         collectFrom(size_t begin, size_t end, size_t limit, const AcquireRequest &request, TimePoint now);
     void         addView(size_t index, const AcquireRequest &request, TimePoint now);
     void         addRecentReporter(size_t index);
-    TargetView   viewOf(const TargetEntry &entry, TimePoint now) const;
-    Duration     distanceCost(const TargetEntry &entry) const;
+    TargetView   viewOf(const TargetEntry &entry, size_t bodyBytes, TimePoint now) const;
+    Duration     distanceCost(const TargetEntry &entry, size_t bodyBytes) const;
     void         appendHalfOpen(const AcquireRequest &request, TimePoint now, std::vector<TargetCandidate> &out) const;
     Duration     queueWait(const AcquireRequest &request) const;
     TargetEntry *findHalfOpen(const AcquireRequest &request, TimePoint now);
--- a/tests/route/test_balancer_reports.cpp
+++ b/tests/route/test_balancer_reports.cpp
@@ -114,3 +114,27 @@
     fixture.answer(*held, 0);
     cr_assert(ends == "lower:refused urgent:granted ");
 }
+
+Test(reports, a_large_body_waits_longer_for_a_target_nearby)
+{
+    Configuration configuration = fleetOf(2, 6);
+    configuration.pools[0].targets[1].dataCentre = "n2";
+    PausedBalancer fixture(
+        configuration, {.random = seededRandom(1)},
+        {.dataCentre = "n1", .otherDataCentreCost = 10ms, .costPerMegabyte = std::chrono::seconds(2)});
+    for (int n = 0; n < 20; ++n) { // answers of 100 ms each, so that waiting has a known cost
+        const auto permit = fixture.tryAcquire();
+        fixture.clock.advance(100ms);
+        fixture.answer(*permit, 0);
+    }
+    fixture.clock.advance(1ms);
+    const LoadUpdate near = probeAnswer("pages/t0", 8);
+    const LoadUpdate far = probeAnswer("pages/t1", 0);
+    fixture.balancer.updateLoad({&near, 1});
+    fixture.balancer.updateLoad({&far, 1});
+    const auto best = [&](size_t bodyBytes) {
+        return fixture.balancer.bestCandidates({.service = "listings", .bodyBytes = bodyBytes}, 2)[0].address->name;
+    };
+    cr_assert(best(0) == "pages/t1" && best(4096) == "pages/t1", "the target nearby is full");
+    cr_assert(best(1024 * 1024) == "pages/t0", "its queue is shorter than what 1 MB over there is worth");
+}
