--- a/tests/fuzz/request.cpp
+++ b/tests/fuzz/request.cpp
@@ -5,6 +5,8 @@
 #include "front/request_reader.h"
 #include "front/translate.h"
 
+#include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -47,12 +49,51 @@
         DAMASK_ASSERT(it.value.find_first_of("\r\n") == std::string::npos,
                       "a field value must not contain a line break");
     }
-    const auto call = toCallRequest(request, {"127.0.0.1", TimePoint(), [] {
-                                                  return std::string("id");
-                                              }});
+    const auto call = toCallRequest(request,
+                                    {"127.0.0.1", TimePoint(),
+                                     [] {
+                                         return std::string("id");
+                                     }},
+                                    defaultCallerProtocol());
     DAMASK_ASSERT(call.has_value() || !call.error().detail.empty(), "an error must state why the request is refused");
 }
 
+/// Reads the first request's body as it arrives, in parts of `step` bytes; it must be the body that is gathered.
+static void checkStreamedBody(std::string_view bytes, size_t step, std::string_view gathered)
+{
+    RequestReader reader(Limits);
+    std::string body;
+    std::array<char, 7> part{};
+    while (!bytes.empty() && !reader.bodyExceeds(0)) {
+        reader.append(bytes.substr(0, step));
+        bytes.remove_prefix(std::min(step, bytes.size()));
+        const auto complete = reader.advance();
+        if (!complete || *complete) {
+            return;
+        }
+    }
+    if (!reader.bodyExceeds(0)) {
+        return;
+    }
+    reader.startBody();
+    while (!reader.bodyEnded()) {
+        const auto n = reader.readBody(part);
+        if (!n) {
+            return;
+        }
+        body.append(part.data(), *n);
+        DAMASK_ASSERT(body.size() <= Limits.bodyBytes, "a body must not exceed its limit");
+        if (*n == 0 && !reader.bodyEnded()) {
+            if (bytes.empty()) {
+                return;
+            }
+            reader.append(bytes.substr(0, step));
+            bytes.remove_prefix(std::min(step, bytes.size()));
+        }
+    }
+    DAMASK_ASSERT(body == gathered, "a streamed body must be the gathered one");
+}
+
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
     const std::string_view bytes(reinterpret_cast<const char *>(data), size);
@@ -60,6 +101,10 @@
     const ReadResult bytewise = readInParts(bytes, 1);
     DAMASK_ASSERT(unsplit.failed == bytewise.failed, "splitting must not change the requests");
     DAMASK_ASSERT(unsplit.requests.size() == bytewise.requests.size(), "splitting must not change the requests");
+    if (!unsplit.requests.empty()) {
+        checkStreamedBody(bytes, 1, unsplit.requests[0].body);
+        checkStreamedBody(bytes, 11, unsplit.requests[0].body);
+    }
     for (size_t n = 0; n < unsplit.requests.size(); ++n) {
         DAMASK_ASSERT(unsplit.requests[n].body == bytewise.requests[n].body, "splitting must not change the requests");
         DAMASK_ASSERT(unsplit.requests[n].head.line == bytewise.requests[n].head.line,
