settings: drop comments on continuation lines

A list of seeds with a comment per line would have held the comments as seeds. Test: settings::a_comment_on_a_continuation_line_is_not_a_value fails before and passes after (run).

--- a/src/settings/ini.cpp
+++ b/src/settings/ini.cpp
@@ -81,6 +81,18 @@
     return buf;
 }
 
+/// The library removes comments behind values only on the first line of an entry.
+std::string_view withoutComment(std::string_view value)
+{
+    for (size_t at = value.find(';'); at != std::string_view::npos; at = value.find(';', at + 1)) {
+        if (at == 0 || value[at - 1] == ' ' || value[at - 1] == '\t') {
+            value = value.substr(0, at);
+            return value.substr(0, value.find_last_not_of(" \t") + 1);
+        }
+    }
+    return value;
+}
+
 /// Handler callback of inih: adds an entry to the current section.
 int handleEntry(void *user, const char *, const char *name, const char *value)
 {
@@ -95,7 +107,10 @@
     }
     std::vector<IniEntry> &entries = state.sections.back().entries;
     if (state.indented && !entries.empty() && entries.back().key == entry.key) {
-        entries.back().value += " " + entry.value;
+        const std::string_view more = withoutComment(entry.value);
+        if (!more.empty()) {
+            entries.back().value += " " + std::string(more);
+        }
         return 1;
     }
     entries.push_back(std::move(entry));
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -103,3 +103,12 @@
     const std::string errors = errorsOf("[member]\nname = e1\npeers = " + std::string(200, 'a') + "\n");
     cr_assert(errors.find("a.ini:3: longer than") != std::string::npos, "%s", errors.c_str());
 }
+
+Test(settings, a_comment_on_a_continuation_line_is_not_a_value)
+{
+    const auto settings = Settings::load(
+        "[member]\nname = e1\npeers = a, ; the first\n    b,c ; two more\n    ;none\n    d;e\n", "a.ini", Specs);
+    cr_assert(settings->list("member", "peers") == std::vector<std::string>({"a", "b", "c", "d;e"}));
+    const auto again = Settings::load(settings->print(), "printed", Specs);
+    cr_assert(again && again->print() == settings->print());
+}
