follow: large changes reach nodes without the store in steps, and cost less to apply

Change: a node that misses changes and has just been refused by the store says so (needs_all); the seed then answers with as many whole revisions as fit, 16 KB at least, and the node asks for the next step at once. A step proves nothing about newer changes, so it counts as fresh only with the last one. Applying a configuration finds known targets by an index instead of comparing each with all (701 x 701 names). Lines for single targets are limited to 20 a second. Tests: news::a_follower_without_the_store_receives_large_changes_in_steps fails without needs_all and passes with it (run); change_log::gives_changes_in_steps_of_whole_revisions.

--- a/src/follow/change_log.cpp
+++ b/src/follow/change_log.cpp
@@ -65,6 +65,27 @@
     m_changes.pop_front();
 }
 
+std::optional<std::vector<StoreChange>> ChangeLog::firstSince(uint64_t after, size_t maxBytes) const
+{
+    if (after < m_base) {
+        return std::nullopt;
+    }
+    std::vector<StoreChange> out;
+    size_t bytes = 0;
+    for (const LoggedChange &it : m_changes) {
+        if (it.change.revision <= after) {
+            continue;
+        }
+        bytes += bytesOf(it.change);
+        const bool sameRevision = !out.empty() && out.back().revision == it.change.revision;
+        if (!out.empty() && !sameRevision && bytes > maxBytes) {
+            break;
+        }
+        out.push_back(it.change);
+    }
+    return out;
+}
+
 std::optional<std::vector<StoreChange>> ChangeLog::since(uint64_t after, size_t maxBytes) const
 {
     if (after < m_base) {
--- a/src/follow/change_log.h
+++ b/src/follow/change_log.h
@@ -32,6 +32,10 @@
     /// The changes after a revision; nullopt when the log no longer holds all of them or they exceed `maxBytes`.
     std::optional<std::vector<StoreChange>> since(uint64_t after, size_t maxBytes) const;
 
+    /// The first changes after a revision, up to `maxBytes` but at least those of one revision; nullopt when the log no
+    /// longer holds all of them. They are complete up to the revision of the last.
+    std::optional<std::vector<StoreChange>> firstSince(uint64_t after, size_t maxBytes) const;
+
 private:
     struct LoggedChange {
         StoreChange change;
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -6,12 +6,15 @@
 #include "follow/follower_state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace damask {
 
 namespace {
 
-constexpr size_t MaxPartLines = 8; // log lines for the refused parts of one configuration
+constexpr size_t MaxPartLines = 8;            // log lines for the refused parts of one configuration
+constexpr double RegistryLinesPerSecond = 20; // log lines for changes of targets; the metrics count all
+constexpr double RegistryLineBurst = 100;
 
 } // namespace
 
@@ -25,15 +28,10 @@
     , backoff(options.sources.seeds.empty() || SourceChoice(options.sources).isSeed() ? options.backoff
                                                                                       : options.followerBackoff,
               hooks.random ? hooks.random : systemRandom())
-    , registry(options.registry,
-               [this](std::string_view id, RegistryOutcome outcome, std::string_view detail) {
-                   metrics.count("damask_registry_changes_total", {{"end", registryOutcomeName(outcome)}});
-                   if (outcome != RegistryOutcome::Same) {
-                       logEvent(Severity::Info, "target-registry",
-                                {{"target", id}, {"end", registryOutcomeName(outcome)}, {"detail", detail}});
-                   }
-               })
+    , registry(options.registry, [this](std::string_view id, RegistryOutcome outcome,
+                                        std::string_view detail) { recordRegistryChange(id, outcome, detail); })
     , sources(options.sources)
+    , registryLines({.perSecond = RegistryLinesPerSecond, .burst = RegistryLineBurst}, clockIn.now())
     , wake(clockIn)
     , log(options.changeLog)
 {
@@ -41,6 +39,24 @@
                   "with seeds, set the hooks sendRequests and newsAvailable");
 }
 
+/// The targets of the first read are counted by its own log line.
+void Follower::State::recordRegistryChange(std::string_view id, RegistryOutcome outcome, std::string_view detail)
+{
+    metrics.count("damask_registry_changes_total", {{"end", registryOutcomeName(outcome)}});
+    if (outcome == RegistryOutcome::Same || (outcome == RegistryOutcome::Added && listedRevision == 0)) {
+        return;
+    }
+    if (!registryLines.take(1, clock.now())) {
+        ++registryLinesLeftOut;
+        return;
+    }
+    logEvent(Severity::Info, "target-registry",
+             {{"target", id},
+              {"end", registryOutcomeName(outcome)},
+              {"detail", detail},
+              {"linesLeftOut", std::exchange(registryLinesLeftOut, 0)}});
+}
+
 void Follower::State::run()
 {
     bool running = true;
--- a/src/follow/follower_news.cpp
+++ b/src/follow/follower_news.cpp
@@ -12,6 +12,7 @@
 
 constexpr size_t InboxCapacity = 64;                   // queued updates; a dropped one is repeated by the next answer
 constexpr Duration UnknownAge = std::chrono::hours(1); // age reported by a node without any data
+constexpr size_t MinStepBytes = 16UL * 1024;           // of changes in an answer to a node that needs all of them
 
 } // namespace
 
@@ -61,7 +62,10 @@
 
 void Follower::State::sendDueRequests()
 {
-    const std::vector<SeedRequest> requests = sources.dueRequests(clock.now(), revision);
+    std::vector<SeedRequest> requests = sources.dueRequests(clock.now(), revision);
+    for (SeedRequest &it : requests) {
+        it.request.needsAll = changesMissing && !reachesStore;
+    }
     if (!requests.empty()) {
         hooks.sendRequests(requests);
     }
@@ -80,7 +84,7 @@
 }
 
 /// An update that begins after this node's revision would leave a gap; it is ignored, and the next answer carries the
-/// missing changes.
+/// missing changes. One of several steps proves nothing about newer changes; the next step is asked for at once.
 void Follower::State::applyNews(StoreNews &news)
 {
     const auto verified = sources.handleAnswer(news, clock.now());
@@ -98,6 +102,7 @@
     }
     const bool advanced = news.revision > revision;
     revision = std::max(revision, news.revision);
+    changesMissing = changesMissing && news.more;
     if (verified && *verified > verifiedAt && clock.now() - *verified < sources.staleAfter()) {
         markStoreReachable(*verified);
         changed = registry.expire(clock.now()) || changed;
@@ -172,6 +177,11 @@
     out.age = everVerified ? state.clock.now() - state.status.verifiedAt : UnknownAge;
     out.hops = state.hops;
     auto changes = state.log.since(request.revision, request.follows ? maxBytes : 0);
+    if (!changes && request.follows && request.needsAll) {
+        changes = state.log.firstSince(request.revision, std::max(maxBytes, MinStepBytes));
+        out.more = changes && !changes->empty() && changes->back().revision < out.revision;
+        out.revision = out.more ? changes->back().revision : out.revision;
+    }
     out.whole = changes.has_value();
     if (changes) {
         out.changes = std::move(*changes);
--- a/src/follow/follower_state.h
+++ b/src/follow/follower_state.h
@@ -3,6 +3,7 @@
 
 #include "base/lock.h"
 #include "base/thread.h"
+#include "base/token_bucket.h"
 #include "follow/follower.h"
 
 #include <optional>
@@ -23,6 +24,7 @@
     bool      pollOnce();
     void      applyChange(StoreChange &change);
     void      applyConfiguration(std::string_view value, uint64_t entryRevision);
+    void      recordRegistryChange(std::string_view id, RegistryOutcome outcome, std::string_view detail);
     void      logRefusedParts(uint64_t entryRevision);
     bool      applyTarget(std::string_view id, std::string_view value, uint64_t entryRevision,
                           std::vector<RegisteredTarget> *into);
@@ -63,6 +65,8 @@
     bool                  reachesStore = false;   // the last own call to the store succeeded
     TimePoint             nextCallAt{};           // earliest time of the next call to the store
     TimePoint             verifiedAt{};           // when the store last had nothing newer
+    TokenBucket           registryLines;          // log lines for changes of targets
+    uint64_t              registryLinesLeftOut = 0;
 
     mutable RankedMutex    mutex{LockRank::Control};
     Condition              wake;
--- a/src/follow/news.h
+++ b/src/follow/news.h
@@ -14,9 +14,10 @@
 namespace damask {
 
 struct FollowRequest {
-    uint64_t number = 0;      // rises with each request of the sender; repeated in the answer
-    uint64_t revision = 0;    // store revision up to which the sender has all changes
-    bool     follows = false; // asks for changes; false: asks only how fresh the receiver's data is
+    uint64_t number = 0;       // rises with each request of the sender; repeated in the answer
+    uint64_t revision = 0;     // store revision up to which the sender has all changes
+    bool     follows = false;  // asks for changes; false: asks only how fresh the receiver's data is
+    bool     needsAll = false; // the sender can't read from the store what an answer leaves out
 };
 
 struct StoreNews {
@@ -26,6 +27,7 @@
     Duration                 age{0};       // since the store confirmed that it had nothing newer
     int                      hops = 0;     // nodes between the sender and the store; 0: it polls the store itself
     bool                     whole = true; // false: some changes are left out and must be read from the store
+    bool                     more = false; // the changes end before the sender's own revision: ask again for the next
     std::vector<StoreChange> changes;      // by ascending revision; only the last of each key
 };
 
--- a/src/follow/source_choice.cpp
+++ b/src/follow/source_choice.cpp
@@ -41,8 +41,8 @@
         return TimePoint();
     }
     const bool followed = m_current && &seed == &m_seeds[*m_current];
-    if (followed && seed.answered && !seed.asFollower) {
-        return seed.requestedAt; // at once, to subscribe to its changes
+    if (followed && seed.answered && (!seed.asFollower || seed.hasMore)) {
+        return seed.requestedAt; // at once, to subscribe to its changes or for the next step of them
     }
     if (!seed.answered) {
         return seed.requestedAt + (followed ? m_options.answerTimeout : m_options.retryInterval);
@@ -93,13 +93,15 @@
         return std::nullopt;
     }
     it->answered = true;
+    it->hasMore = news.more;
     m_othersRequested = m_othersRequested && !(m_current && &m_seeds[*m_current] == &*it);
     it->verified = true;
     it->verifiedAt = it->requestedAt - news.age; // a lower bound: the seed answered after the request was sent
     it->hops = news.hops;
     it->roundTrip = it->answerCount == 0 ? now - it->requestedAt : std::min(it->roundTrip, now - it->requestedAt);
     it->answerCount = std::min(it->answerCount + 1, TrustedAnswerCount);
-    return it->asFollower && m_current && &m_seeds[*m_current] == &*it ? std::optional(it->verifiedAt) : std::nullopt;
+    const bool isProof = it->asFollower && !news.more && m_current && &m_seeds[*m_current] == &*it;
+    return isProof ? std::optional(it->verifiedAt) : std::nullopt;
 }
 
 bool SourceChoice::usable(size_t n, TimePoint now, bool reachesStore) const
--- a/src/follow/source_choice.h
+++ b/src/follow/source_choice.h
@@ -72,6 +72,7 @@
         uint64_t    requestNumber = 0;  // of the last request; 0: none yet
         bool        answered = false;   // whether the last request was
         bool        asFollower = false; // the last request had `follows` set
+        bool        hasMore = false;    // the last answer was one of several steps
         TimePoint   requestedAt{};
         bool        verified = false;
         TimePoint   verifiedAt{}; // when the store had nothing newer than the seed
--- a/src/route/service_table.cpp
+++ b/src/route/service_table.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <unordered_map>
 
 namespace damask {
 
@@ -63,8 +64,14 @@
     const auto &pools = configuration.pools;
     const auto pool = std::find_if(pools.begin(), pools.end(), [&](const Pool &n) { return n.name == service.pool; });
     if (pool != pools.end()) {
+        std::unordered_map<std::string, TargetEntry *> known; // owns its keys: an entry's address is replaced below
+        for (const auto &it : m_targets) {
+            known.emplace(it->address->name, it.get());
+        }
         for (const Target &it : pool->targets) {
-            applyTarget(configuration, *pool, it, now);
+            const std::string name = pool->name + "/" + it.name;
+            const auto entry = known.find(name);
+            applyTarget(configuration, it, name, entry == known.end() ? nullptr : entry->second, now);
         }
     }
     m_revision = configuration.revision;
@@ -72,11 +79,10 @@
     sortByDistance();
 }
 
-void ServiceTable::applyTarget(const Configuration &configuration, const Pool &pool, const Target &target,
-                               TimePoint now)
+/// `entry` is the target's own, or null when it is new.
+void ServiceTable::applyTarget(const Configuration &configuration, const Target &target, const std::string &name,
+                               TargetEntry *entry, TimePoint now)
 {
-    const std::string name = pool.name + "/" + target.name;
-    TargetEntry *entry = find(name);
     const bool fresh = entry == nullptr;
     if (fresh) {
         m_targets.push_back(std::make_unique<TargetEntry>());
--- a/src/route/service_table.h
+++ b/src/route/service_table.h
@@ -87,7 +87,8 @@
     const WaitQueue &queue() const;
 
 private:
-    void         applyTarget(const Configuration &configuration, const Pool &pool, const Target &target, TimePoint now);
+    void         applyTarget(const Configuration &configuration, const Target &target, const std::string &name,
+                             TargetEntry *entry, TimePoint now);
     void         updateDistance(const Configuration &configuration, TargetEntry &entry) const;
     void         eraseRemoved(TimePoint now);
     void         remember(const TargetEntry &entry, TimePoint now);
--- a/src/wire/message.cpp
+++ b/src/wire/message.cpp
@@ -88,6 +88,7 @@
     to.mutable_follow()->set_number(from.number);
     to.mutable_follow()->set_revision(from.revision);
     to.mutable_follow()->set_follows(from.follows);
+    to.mutable_follow()->set_needs_all(from.needsAll);
 }
 
 void write(const StoreNews &from, pb::Envelope &to)
@@ -99,6 +100,7 @@
     news.set_age_us(std::min(microseconds(from.age), MaxAgeMicroseconds));
     news.set_hops(static_cast<uint32_t>(std::max(from.hops, 0)));
     news.set_whole(from.whole);
+    news.set_more(from.more);
     for (const StoreChange &it : from.changes) {
         pb::StoreChange &change = *news.add_changes();
         change.set_key(it.key);
@@ -200,7 +202,8 @@
                   .revision = from.revision(),
                   .age = std::chrono::microseconds(from.age_us()),
                   .hops = static_cast<int>(from.hops()),
-                  .whole = from.whole()};
+                  .whole = from.whole(),
+                  .more = from.more()};
     for (const pb::StoreChange &it : from.changes()) {
         if (const auto checked = checkText(it.key(), MaxNameBytes, "store_news.key"); !checked) {
             return tl::make_unexpected(checked.error());
@@ -231,7 +234,8 @@
     case pb::Envelope::kHeartbeat:
         return readHeartbeat(from.heartbeat());
     case pb::Envelope::kFollow:
-        return FollowRequest{from.follow().number(), from.follow().revision(), from.follow().follows()};
+        return FollowRequest{from.follow().number(), from.follow().revision(), from.follow().follows(),
+                             from.follow().needs_all()};
     case pb::Envelope::kStoreNews:
         return readStoreNews(from.store_news());
     case pb::Envelope::BODY_NOT_SET:
--- a/tests/follow/test_change_log.cpp
+++ b/tests/follow/test_change_log.cpp
@@ -59,6 +59,19 @@
     cr_assert(log.since(2, 1000)->size() == 1);
 }
 
+Test(change_log, gives_changes_in_steps_of_whole_revisions)
+{
+    ChangeLog log({});
+    log.restart(1);
+    const std::vector<StoreChange> changes{change("a", std::string(200, 'x'), 2), change("b", "1", 3),
+                                           change("c", "1", 3), change("d", "1", 4)};
+    log.record(changes, 9, Start);
+    cr_assert(log.firstSince(1, 10)->size() == 1, "at least one, however large");
+    cr_assert(log.firstSince(2, 3)->size() == 2, "both of the same revision");
+    cr_assert(log.firstSince(2, 100)->size() == 3 && log.firstSince(4, 100)->empty());
+    cr_assert(!log.firstSince(0, 100), "before the start of the log");
+}
+
 Test(change_log, ignores_changes_that_are_already_recorded)
 {
     ChangeLog log({});
--- a/tests/platform/test_news.cpp
+++ b/tests/platform/test_news.cpp
@@ -192,6 +192,22 @@
     cr_assert(it.other.fake.calls() > before);
 }
 
+Test(news, a_follower_without_the_store_receives_large_changes_in_steps)
+{
+    SeedAndFollower it;
+    it.other.fake.setBehaviour(StoreBehaviour::ResetsConnections);
+    it.maxBytes = 10;
+    for (int n = 2; n <= 400; ++n) {
+        it.put("servers/i-" + std::to_string(n), worker("ready", 1));
+    }
+    it.put("op/config", configuration("0000000c", "s2"));
+    cr_assert(eventually([&] { return it.other.service() == "s2" && it.other.targets() == 400; }),
+              "the store refuses this node, and only the seed has the changes");
+    it.put("servers/i-1", worker("draining", 2));
+    it.remove("servers/i-2");
+    cr_assert(eventually([&] { return it.other.targets() == 399; }));
+}
+
 Test(news, followers_also_hold_entries_that_expired_during_an_outage)
 {
     SeedAndFollower it;
