http: a target that pauses its reading of a large body is not lost

The calls' lines named it: TCP_USER_TIMEOUT of one second also counts a peer that answers with a closed window, so a worker that pauses its reading for a second lost its uploads. It is no matter of load or of the sign of char: a worker that pauses for 2.5 s fails each time on the usual build. Change: while a body of more than 16 KB is sent, the limit is the time left to the deadline; after it one second again. Ruled out: no limit at all (a dead worker would hold small calls until their deadline). Test: upload::a_worker_may_pause_its_reading_until_the_deadline fails before (502) and passes after (run).

--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -16,8 +16,7 @@
 
 namespace {
 
-constexpr unsigned UnacknowledgedLimitMs = 1000; // unacknowledged data fails the connection after this time
-constexpr size_t MaxParts = 4;                   // per send()
+constexpr size_t MaxParts = 4; // per send()
 
 timespec toTimespec(Duration duration)
 {
@@ -44,7 +43,6 @@
 {
     const int on = 1;
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedLimitMs, sizeof UnacknowledgedLimitMs);
 }
 
 /// Waits for events and returns those that are ready; 0 on timeout.
@@ -91,11 +89,13 @@
         return fail(Code::ConnectFailed, "the socket could not be created");
     }
     setOptions(socket.get());
-    const int result = ::connect(socket.get(), reinterpret_cast<const sockaddr *>(&*to), sizeof *to);
+    auto out = std::make_unique<Connection>(std::move(socket));
+    out->setUnacknowledgedLimit(UnacknowledgedLimit);
+    const int result = ::connect(out->descriptor(), reinterpret_cast<const sockaddr *>(&*to), sizeof *to);
     if (result != 0 && errno != EINPROGRESS) {
         return fail(Code::ConnectFailed, "the target refused the connection");
     }
-    return std::make_unique<Connection>(std::move(socket));
+    return out;
 }
 
 Result<void> Connection::finishConnect() const
@@ -188,6 +188,14 @@
     return n < 0 && errno == EAGAIN;
 }
 
+void Connection::setUnacknowledgedLimit(Duration limit)
+{
+    constexpr int64_t MaxMilliseconds = 60 * 60 * 1000;
+    const int64_t n = std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
+    const auto ms = static_cast<unsigned>(std::clamp<int64_t>(n, 1, MaxMilliseconds));
+    setsockopt(m_socket.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+}
+
 int Connection::descriptor() const
 {
     return m_socket.get();
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -30,6 +30,8 @@
     size_t bytes = 0; // transferred, also if the call failed
 };
 
+constexpr Duration UnacknowledgedLimit = std::chrono::seconds(1); // of a new connection
+
 class Connection
 {
 public:
@@ -45,8 +47,12 @@
     IoResult send(std::span<const std::string_view> parts, Duration timeout); // all parts in one write if possible
     IoResult receive(std::span<char> buffer, Duration timeout);
     bool     isReusable() const; // open, and no unsolicited data has arrived
-    int      descriptor() const; // for poll()
-    void     interrupt();        // makes another thread's send() or receive() return Closed; thread-safe
+
+    /// How long sent data may stay unacknowledged before the connection fails; a peer that does not read counts as
+    /// silent.
+    void setUnacknowledgedLimit(Duration limit);
+    int  descriptor() const; // for poll()
+    void interrupt();        // makes another thread's send() or receive() return Closed; thread-safe
 
 private:
     bool waitFor(short events, Duration timeout) const;
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -1,5 +1,7 @@
 #include "http/exchange.h"
 
+#include "base/scope.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -306,6 +308,16 @@
 ExchangeResult exchange(Connection &connection, const Clock &clock, const ExchangeRequest &request)
 {
     ExchangeResult out;
+    // A target that pauses its reading of a large body must not be taken for lost; the deadline bounds it.
+    const bool large = request.stream != nullptr || request.body.size() > BufferBytes;
+    const ScopeGuard restoreLimit([&] {
+        if (large) {
+            connection.setUnacknowledgedLimit(UnacknowledgedLimit);
+        }
+    });
+    if (large) {
+        connection.setUnacknowledgedLimit(request.deadline - clock.now());
+    }
     Code bodyCode = Code::Ok;
     const std::array<std::string_view, 2> parts{request.head, request.body};
     const IoResult sent = request.stream != nullptr ? sendStream(connection, clock, request, bodyCode)
--- a/tests/platform/test_upload.cpp
+++ b/tests/platform/test_upload.cpp
@@ -288,6 +288,25 @@
     sender.join();
 }
 
+Test(upload, a_worker_may_pause_its_reading_until_the_deadline)
+{
+    UploadFixture it({.readBytes = 1000, .response = std::string(Answer), .stopsReading = true});
+    RawCaller caller(it.front.port());
+    Thread sender("sender", [&] { caller.send(sized(8 * Megabyte) + std::string(8 * Megabyte, 'x')); });
+    it.target.waitForBytes(1000);
+    const TimePoint resumesAt = it.clock.now() + 2500ms; // the system takes a silent peer for lost after a second
+    RankedMutex mutex{LockRank::Program};
+    Condition never(it.clock);
+    {
+        LockGuard lock(mutex);
+        while (never.waitUntil(lock, resumesAt)) { }
+    }
+    it.target.release();
+    const RawResponse got = caller.receive();
+    cr_assert(got.status == 200 && got.body == "done", "%d", got.status);
+    sender.join();
+}
+
 Test(upload, waits_for_continue_before_it_is_sent)
 {
     UploadFixture it({.response = std::string(Answer)});
