--- a/src/back/target_protocol.cpp
+++ b/src/back/target_protocol.cpp
@@ -81,6 +81,15 @@
     return refused ? std::optional(Code::TargetRefused) : std::nullopt;
 }
 
+/// A target that repeats the request's id thereby names the request that it answers.
+Result<void> checkRequestId(const Attempt &attempt, const ResponseHead &head)
+{
+    const std::string_view id = headerValue(head.headers, header::RequestId);
+    return id.empty() || id == attempt.request.requestId
+               ? Result<void>()
+               : fail(Code::BadAnswer, "the answer carries the id of another request");
+}
+
 TargetNotice readNotice(const TargetAddress &, std::string_view, const ResponseHead &head)
 {
     TargetNotice out;
@@ -110,9 +119,7 @@
     out.load = readLoadFields;
     out.refusalCode = readRefusal;
     out.notice = readNotice;
-    out.check = [](const Attempt &, const ResponseHead &) {
-        return Result<void>();
-    };
+    out.check = checkRequestId;
     out.strips = [](std::string_view name) {
         return isOneOf(ResponseFields, name);
     };
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -6,6 +6,7 @@
 #include "follow/follower_state.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace damask {
@@ -16,6 +17,17 @@
 constexpr double RegistryLinesPerSecond = 20; // log lines for changes of targets; the metrics count all
 constexpr double RegistryLineBurst = 100;
 
+/// Calls a decoder of outside data. Whatever one entry makes it throw, the others are still read.
+template<class T, class Decoder>
+Result<T> decode(const Decoder &decoder)
+{
+    try {
+        return decoder();
+    } catch (const std::exception &ec) {
+        return fail(Code::SystemError, std::string("the decoder failed: ") + ec.what());
+    }
+}
+
 } // namespace
 
 Follower::State::State(Clock &clockIn, Metrics &metricsIn, StoreClient &storeIn, const FollowerOptions &optionsIn,
@@ -204,7 +216,7 @@
 
 void Follower::State::applyConfiguration(std::string_view value, uint64_t entryRevision)
 {
-    auto read = hooks.readConfiguration(value);
+    auto read = decode<WatchedConfiguration>([&] { return hooks.readConfiguration(value); });
     if (!read) {
         metrics.countCode("damask_configuration_refusals_total", read.error().code);
         logEvent(
@@ -245,7 +257,7 @@
 bool Follower::State::applyTarget(std::string_view id, std::string_view value, uint64_t entryRevision,
                                   std::vector<RegisteredTarget> *into)
 {
-    auto read = hooks.readTarget(id, value);
+    auto read = decode<RegisteredTarget>([&] { return hooks.readTarget(id, value); });
     if (!read) {
         metrics.countCode("damask_store_bad_targets_total", read.error().code);
         logEvent(Severity::Warning, "target-refused",
--- a/src/wire/node.cpp
+++ b/src/wire/node.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <deque>
+#include <exception>
 #include <map>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -271,7 +272,12 @@
                       {"reason", message.error().detail}});
             return;
         }
-        hooks.receive(source, std::move(*message));
+        try {
+            hooks.receive(source, std::move(*message));
+        } catch (const std::exception &ec) { // one message must not end the process
+            metrics.countCode("damask_wire_refusals_total", Code::SystemError);
+            logEvent(Severity::Error, "message-failed", {{"domain", source.domain}, {"reason", ec.what()}});
+        }
     }
 
     void receiveFrom(zmq::socket_t &socket, size_t listener)
--- a/tests/back/test_sender.cpp
+++ b/tests/back/test_sender.cpp
@@ -315,3 +315,19 @@
     }
     cr_assert(it.sender.probe("127.0.0.1", 1, 1s).error().code == Code::ConnectFailed);
 }
+
+Test(sender, a_late_second_copy_of_an_answer_is_not_the_next_callers)
+{
+    const std::string first = completeResponse("first", "X-Request-Id: r-1\r\n");
+    const std::string second = completeResponse("second", "X-Request-Id: r-2\r\n");
+    FakeTarget target([&, served = 0](int, const std::string &) mutable {
+        ++served;
+        return FakeReply{served == 2 ? first + second : first, false, false};
+    });
+    SenderFixture it(target);
+    cr_assert(it.get().response.body == "first");
+    it.request.requestId = "r-2";
+    const AttemptResult got = it.get();
+    cr_assert(got.end == AttemptEnd::Lost && got.code == Code::BadAnswer);
+    cr_assert(it.counts().open == 0, "the connection is closed");
+}
--- a/tests/platform/test_follow.cpp
+++ b/tests/platform/test_follow.cpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <criterion/criterion.h>
+#include <stdexcept>
 
 using namespace damask;
 using namespace std::chrono_literals;
@@ -15,7 +16,7 @@
 
 /// A follower of a fake store, and the configuration that it applied last.
 struct FollowerFixture {
-    FollowerFixture()
+    explicit FollowerFixture(std::function<void(std::string_view id)> beforeTarget = {})
     {
         StoreOptions storeOptions;
         storeOptions.port = fake.port();
@@ -30,15 +31,22 @@
         options.pollTimeout = 200ms;
         options.backoff = {5ms, 20ms};
         options.registry.lapseHold = 300ms;
-        follower = std::make_unique<Follower>(clock, metrics, *client, options,
-                                              FollowerHooks{.readConfiguration = form.readConfiguration,
-                                                            .readTarget = form.readTarget,
-                                                            .apply = [this](std::shared_ptr<const Configuration> next,
-                                                                            const WatchedConfiguration &watched) {
-                                                                LockGuard lock(mutex);
-                                                                active = std::move(next);
-                                                                version = watched.version;
-                                                            }});
+        follower = std::make_unique<Follower>(
+            clock, metrics, *client, options,
+            FollowerHooks{.readConfiguration = form.readConfiguration,
+                          .readTarget =
+                              [form, beforeTarget](std::string_view id, std::string_view value) {
+                                  if (beforeTarget) {
+                                      beforeTarget(id);
+                                  }
+                                  return form.readTarget(id, value);
+                              },
+                          .apply =
+                              [this](std::shared_ptr<const Configuration> next, const WatchedConfiguration &watched) {
+                                  LockGuard lock(mutex);
+                                  active = std::move(next);
+                                  version = watched.version;
+                              }});
     }
     void start(std::string_view service = "s1")
     {
@@ -157,6 +165,20 @@
     cr_assert(eventually([&] { return it.targets() == 2; }));
 }
 
+Test(follow, an_entry_that_makes_the_decoder_throw_costs_only_itself)
+{
+    FollowerFixture it([](std::string_view id) {
+        if (id == "i-0") {
+            throw std::length_error("unexpected");
+        }
+    });
+    it.fake.put("servers/i-0", worker("ready", 1));
+    it.start();
+    it.fake.put("servers/i-0", worker("ready", 2));
+    it.fake.put("servers/i-2", worker("ready", 1));
+    cr_assert(eventually([&] { return it.targets() == 2; }));
+}
+
 Test(follow, a_configuration_with_an_odd_rule_takes_effect_for_the_others)
 {
     FollowerFixture it;
--- a/tests/platform/test_upload.cpp
+++ b/tests/platform/test_upload.cpp
@@ -307,6 +307,21 @@
     sender.join();
 }
 
+Test(upload, a_planned_stop_lets_it_end)
+{
+    UploadFixture it({.response = std::string(Answer)});
+    const std::string body = sampleBody(Megabyte);
+    RawCaller caller(it.front.port());
+    caller.send(sized(body.size()) + body.substr(0, Megabyte / 2));
+    it.target.waitForBytes(Megabyte / 4);
+    Thread stopping("stopping", [&] { it.front.stop(); });
+    caller.send(std::string_view(body).substr(Megabyte / 2));
+    const RawResponse got = caller.receive();
+    cr_assert(got.status == 200 && got.field("Connection") == "close" && bodyReceived(it.target) == body);
+    caller.close();
+    stopping.join();
+}
+
 Test(upload, waits_for_continue_before_it_is_sent)
 {
     UploadFixture it({.response = std::string(Answer)});
