--- a/src/follow/change_log.cpp
+++ b/src/follow/change_log.cpp
@@ -65,45 +65,39 @@
     m_changes.pop_front();
 }
 
-std::optional<std::vector<StoreChange>> ChangeLog::firstSince(uint64_t after, size_t maxBytes) const
+ChangeLog::Changes ChangeLog::collect(uint64_t after, size_t maxBytes) const
 {
-    if (after < m_base) {
-        return std::nullopt;
-    }
-    std::vector<StoreChange> out;
+    Changes out;
     size_t bytes = 0;
     for (const LoggedChange &it : m_changes) {
         if (it.change.revision <= after) {
             continue;
         }
         bytes += bytesOf(it.change);
-        const bool sameRevision = !out.empty() && out.back().revision == it.change.revision;
-        if (!out.empty() && !sameRevision && bytes > maxBytes) {
-            break;
+        const bool sameRevision = !out.first.empty() && out.first.back().revision == it.change.revision;
+        if (bytes > maxBytes) {
+            out.tooLarge = true;
+            if (!out.first.empty() && !sameRevision) {
+                break;
+            }
         }
-        out.push_back(it.change);
+        out.first.push_back(it.change);
     }
     return out;
 }
 
+std::optional<std::vector<StoreChange>> ChangeLog::firstSince(uint64_t after, size_t maxBytes) const
+{
+    return after < m_base ? std::nullopt : std::optional(collect(after, maxBytes).first);
+}
+
 std::optional<std::vector<StoreChange>> ChangeLog::since(uint64_t after, size_t maxBytes) const
 {
     if (after < m_base) {
         return std::nullopt;
     }
-    std::vector<StoreChange> out;
-    size_t bytes = 0;
-    for (const LoggedChange &it : m_changes) {
-        if (it.change.revision <= after) {
-            continue;
-        }
-        bytes += bytesOf(it.change);
-        if (bytes > maxBytes) {
-            return std::nullopt;
-        }
-        out.push_back(it.change);
-    }
-    return out;
+    Changes out = collect(after, maxBytes);
+    return out.tooLarge ? std::nullopt : std::optional(std::move(out.first));
 }
 
 } // namespace damask
--- a/src/follow/change_log.h
+++ b/src/follow/change_log.h
@@ -42,6 +42,13 @@
         TimePoint   at;
     };
 
+    struct Changes {
+        std::vector<StoreChange> first;            // up to the limit of bytes, but at least those of one revision
+        bool                     tooLarge = false; // all of them exceed the limit
+    };
+
+    Changes collect(uint64_t after, size_t maxBytes) const;
+
     void eraseKey(std::string_view key);
     void dropOldest();
 
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -240,7 +240,7 @@
 
 void Follower::State::logRefusedParts(uint64_t entryRevision)
 {
-    const std::vector<std::string> &parts = configuration.refused;
+    const std::span<const std::string> parts = configuration.refused;
     for (size_t n = 0; n < parts.size(); ++n) {
         metrics.count("damask_configuration_parts_refused_total");
         if (n < MaxPartLines) {
--- a/src/route/service_table.cpp
+++ b/src/route/service_table.cpp
@@ -80,7 +80,7 @@
 }
 
 /// `entry` is the target's own, or null when it is new.
-void ServiceTable::applyTarget(const Configuration &configuration, const Target &target, const std::string &name,
+void ServiceTable::applyTarget(const Configuration &configuration, const Target &target, std::string_view name,
                                TargetEntry *entry, TimePoint now)
 {
     const bool fresh = entry == nullptr;
@@ -112,7 +112,7 @@
     if (fresh) {
         recall(*entry);
     }
-    entry->address = std::make_shared<const TargetAddress>(TargetAddress{name, target.address, target.port,
+    entry->address = std::make_shared<const TargetAddress>(TargetAddress{std::string(name), target.address, target.port,
                                                                          m_service.connectionShare, target.instance,
                                                                          m_service.healthPath, target.startedAt});
     updateDistance(configuration, *entry);
--- a/src/route/service_table.h
+++ b/src/route/service_table.h
@@ -87,7 +87,7 @@
     const WaitQueue &queue() const;
 
 private:
-    void         applyTarget(const Configuration &configuration, const Target &target, const std::string &name,
+    void         applyTarget(const Configuration &configuration, const Target &target, std::string_view name,
                              TargetEntry *entry, TimePoint now);
     void         updateDistance(const Configuration &configuration, TargetEntry &entry) const;
     void         eraseRemoved(TimePoint now);
