tests: the callers of the upload test reset their connections after their senders have ended

After a shutdown the front does not learn of it either: the end of the connection waits behind bytes that nobody reads, so only the deadline ends such a call. A reset arrives at once. Change: the callers shut down, their senders end, then they reset; bounds and checks are as before.

--- a/tests/fakes/raw_caller.h
+++ b/tests/fakes/raw_caller.h
@@ -37,6 +37,7 @@
     bool        closedByPeer();                   // waits for the end of the stream; false if bytes arrive instead
     void        close();                          // in both directions
     void        resetConnection();                // closes with a TCP reset
+    void        shutDown();                       // ends both directions; also wakes a thread that is sending
 
 private:
     bool fill();
@@ -148,6 +149,11 @@
     m_socket.reset();
 }
 
+inline void RawCaller::shutDown()
+{
+    ::shutdown(m_socket.get(), SHUT_RDWR);
+}
+
 /// A GET request without body.
 inline std::string getRequest(std::string_view path, std::string_view fields = {})
 {
--- a/tests/platform/test_upload.cpp
+++ b/tests/platform/test_upload.cpp
@@ -186,11 +186,14 @@
     // What one call may keep: a buffer of 64 KB read by the poller, and one of 16 KB on the way.
     cr_assert(it.front.status().bufferedBytes <= Calls * 96 * 1024, "%zu", it.front.status().bufferedBytes);
     for (const auto &caller : callers) {
-        caller->resetConnection();
+        caller->shutDown();
     }
     for (Thread &sender : senders) {
         sender.join();
     }
+    for (const auto &caller : callers) {
+        caller->resetConnection(); // the end of a connection waits behind the bytes that nobody reads, a reset does not
+    }
     cr_assert(eventually([&] { return it.front.status().callsInFlight == 0; }), "callers that leave free their calls");
     cr_assert(eventually([&] { return it.front.status().bufferedBytes == 0; }));
 }
