--- a/tests/platform/test_upload.cpp
+++ b/tests/platform/test_upload.cpp
@@ -323,6 +323,7 @@
     RawCaller caller(it.front.port());
     caller.send(sized(body.size()) + body.substr(0, Megabyte / 2));
     it.target.waitForBytes(Megabyte / 4);
+    it.front.startDraining(); // before the answer, however late the thread starts
     Thread stopping("stopping", [&] { it.front.stop(); });
     caller.send(std::string_view(body).substr(Megabyte / 2));
     const RawResponse got = caller.receive();
