--- a/src/settings/ini.cpp
+++ b/src/settings/ini.cpp
@@ -108,8 +108,9 @@
     std::vector<IniEntry> &entries = state.sections.back().entries;
     if (state.indented && !entries.empty() && entries.back().key == entry.key) {
         const std::string_view more = withoutComment(entry.value);
+        std::string &whole = entries.back().value;
         if (!more.empty()) {
-            entries.back().value += " " + std::string(more);
+            whole += (whole.empty() ? "" : " ") + std::string(more);
         }
         return 1;
     }
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -112,3 +112,12 @@
     const auto again = Settings::load(settings->print(), "printed", Specs);
     cr_assert(again && again->print() == settings->print());
 }
+
+Test(settings, a_value_that_begins_on_a_continuation_line_has_no_leading_space)
+{
+    const auto settings = Settings::load("[member]\nname =\n    e1\npeers = \n    a,\n    b\n", "a.ini", Specs);
+    cr_assert(settings.has_value(), "%s", settings.error().detail.c_str());
+    cr_assert(settings->text("member", "name") == "e1");
+    const auto again = Settings::load(settings->print(), "printed", Specs);
+    cr_assert(again && again->print() == settings->print());
+}
