settings: entries that could not be read back are refused, white space is trimmed as inih does

A value of several lines was held against the length of its key's line, so that printed settings could be refused; a break beside a tab lost the tab; other white space before a comment on a continuation line became part of the value. Change: one check after the parse that each entry, written out, has lines short enough; it replaces the one in the handler and is as strict for what can't be printed. Ruled out: the library's own trimming, which these follow.

--- a/src/settings/ini.cpp
+++ b/src/settings/ini.cpp
@@ -12,6 +12,7 @@
 
 constexpr size_t MaxLineBytes = 197; // longest line that inih does not split
 constexpr std::string_view Separator = " = ";
+constexpr std::string_view Blanks = " \t\v\f\r"; // trimmed by inih at both ends of a line
 
 std::string lineTooLong(int line)
 {
@@ -85,9 +86,9 @@
 std::string_view withoutComment(std::string_view value)
 {
     for (size_t at = value.find(';'); at != std::string_view::npos; at = value.find(';', at + 1)) {
-        if (at == 0 || value[at - 1] == ' ' || value[at - 1] == '\t') {
+        if (at == 0 || Blanks.find(value[at - 1]) != std::string_view::npos) {
             value = value.substr(0, at);
-            return value.substr(0, value.find_last_not_of(" \t") + 1);
+            return value.substr(0, value.find_last_not_of(Blanks) + 1);
         }
     }
     return value;
@@ -102,9 +103,6 @@
     }
     const bool onlyComment = value == nullptr || *value == ';'; // as in `key =; comment`
     IniEntry entry{name, onlyComment ? "" : value, state.line};
-    if (entry.key.size() + entry.value.size() + Separator.size() > MaxLineBytes) {
-        state.result = fail(Code::BadSettings, lineTooLong(state.line)); // once written out, it could not be read back
-    }
     std::vector<IniEntry> &entries = state.sections.back().entries;
     if (state.indented && !entries.empty() && entries.back().key == entry.key) {
         const std::string_view more = withoutComment(entry.value);
@@ -118,12 +116,16 @@
     return 1;
 }
 
-/// Position to break a value that is too long for its line: the last single space that does not precede a comment
-/// character.
+/// Position to break a value that is too long for its line: the last space without other white space beside it that
+/// does not precede a comment character.
 size_t findLineBreak(std::string_view value, size_t available)
 {
     for (size_t n = std::min(available, value.size() - 1); n > 1; --n) {
-        const bool single = value[n] == ' ' && value[n - 1] != ' ' && n + 1 < value.size() && value[n + 1] != ' ';
+        if (value[n] != ' ' || n + 1 == value.size()) {
+            continue;
+        }
+        const bool single =
+            Blanks.find(value[n - 1]) == std::string_view::npos && Blanks.find(value[n + 1]) == std::string_view::npos;
         if (single && value[n + 1] != ';' && value[n + 1] != '#') {
             return n;
         }
@@ -131,6 +133,19 @@
     return std::string_view::npos;
 }
 
+/// BadSettings for an entry that, once written out, could not be read back.
+Result<void> checkWritable(std::span<const IniSection> sections)
+{
+    for (const IniSection &section : sections) {
+        for (const IniEntry &it : section.entries) {
+            if (findLongLine(writeIniEntry(it.key, it.value)) != 0) {
+                return fail(Code::BadSettings, lineTooLong(it.line));
+            }
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 Result<std::vector<IniSection>> readIni(std::string_view text, std::string_view source)
@@ -152,6 +167,9 @@
         return fail(Code::BadSettings,
                     std::string(source) + ":" + std::to_string(ec) + ": neither a [section] nor a `key = value` line");
     }
+    if (const auto writable = checkWritable(state.sections); !writable) {
+        return fail(Code::BadSettings, std::string(source) + writable.error().detail);
+    }
     return std::move(state.sections);
 }
 
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -121,3 +121,30 @@
     const auto again = Settings::load(settings->print(), "printed", Specs);
     cr_assert(again && again->print() == settings->print());
 }
+
+Test(settings, values_of_several_lines_are_printed_so_that_they_read_back)
+{
+    const std::string value =
+        std::string(100, 'a') + "\n    " + std::string(90, 'b') + "\n    " + std::string(100, 'c');
+    const auto settings = Settings::load("[member]\nname = e1\npeers = " + value + "\n", "a.ini", Specs);
+    cr_assert(settings.has_value(), "%s", settings.error().detail.c_str());
+    const auto again = Settings::load(settings->print(), "printed", Specs);
+    cr_assert(again && again->print() == settings->print());
+}
+
+Test(settings, a_value_that_no_line_could_hold_is_an_error)
+{
+    const std::string value = std::string(100, 'a') + " \t" + std::string(94, 'b'); // not broken beside a tab
+    const std::string errors = errorsOf("[member]\nname = e1\npeers =\n " + value + "\n d\n");
+    cr_assert(errors.find("longer than") != std::string::npos, "%s", errors.c_str());
+}
+
+Test(settings, white_space_of_any_kind_before_a_comment_is_not_a_value)
+{
+    const auto settings =
+        Settings::load("[member]\nname = e1\npeers = a,\n    b \v;none\n    c\r;none\n", "a.ini", Specs);
+    cr_assert(settings->text("member", "name") == "e1");
+    const auto again = Settings::load(settings->print(), "printed", Specs);
+    cr_assert(again && again->print() == settings->print());
+    cr_assert(settings->list("member", "peers") == std::vector<std::string>({"a", "b", "c"}));
+}
