follow: one relay in each data centre, large changes in steps to all, a first list that may be stale

Change: a seed names the follower with the fastest link in a data centre as its relay, and the others there follow it; a change crosses to a data centre once and is passed on nearby. All followers get large changes in steps, not only those that the store refuses. A node that follows a seed reads its first list with staleOk and publishes nothing before a seed or the store has added the changes since, so that nothing that has left is used again. Seeds poll more often, as a relay adds a request interval of age. Tests: news::a_follower_receives_large_changes_in_steps_without_calling_the_store and a_node_that_starts_from_a_stale_list... fail before; source_choice::*relay*, relay_choice::*. Replaced: news::changes_too_large_for_a_message_are_read_from_the_store checked the old way; that no such call is made, and that one is made for changes which the seed has dropped, take its place. The bound of source_choice::a_seed_with_too_many_hops now comes from the option, which is 3 as a relay is one hop more.

--- a/src/follow/change_log.cpp
+++ b/src/follow/change_log.cpp
@@ -65,39 +65,26 @@
     m_changes.pop_front();
 }
 
-ChangeLog::Changes ChangeLog::collect(uint64_t after, size_t maxBytes) const
+std::optional<ChangeLog::Step> ChangeLog::since(uint64_t after, size_t maxBytes) const
 {
-    Changes out;
+    if (after < m_base) {
+        return std::nullopt;
+    }
+    Step out;
     size_t bytes = 0;
     for (const LoggedChange &it : m_changes) {
         if (it.change.revision <= after) {
             continue;
         }
         bytes += bytesOf(it.change);
-        const bool sameRevision = !out.first.empty() && out.first.back().revision == it.change.revision;
-        if (bytes > maxBytes) {
-            out.tooLarge = true;
-            if (!out.first.empty() && !sameRevision) {
-                break;
-            }
+        const bool sameRevision = !out.changes.empty() && out.changes.back().revision == it.change.revision;
+        if (bytes > maxBytes && !out.changes.empty() && !sameRevision) {
+            out.more = true;
+            break;
         }
-        out.first.push_back(it.change);
+        out.changes.push_back(it.change);
     }
     return out;
 }
 
-std::optional<std::vector<StoreChange>> ChangeLog::firstSince(uint64_t after, size_t maxBytes) const
-{
-    return after < m_base ? std::nullopt : std::optional(collect(after, maxBytes).first);
-}
-
-std::optional<std::vector<StoreChange>> ChangeLog::since(uint64_t after, size_t maxBytes) const
-{
-    if (after < m_base) {
-        return std::nullopt;
-    }
-    Changes out = collect(after, maxBytes);
-    return out.tooLarge ? std::nullopt : std::optional(std::move(out.first));
-}
-
 } // namespace damask
--- a/src/follow/change_log.h
+++ b/src/follow/change_log.h
@@ -29,12 +29,15 @@
     void     record(std::span<const StoreChange> changes, uint64_t revision, TimePoint now); // changes up to `revision`
     uint64_t revision() const; // of the last record() or restart()
 
-    /// The changes after a revision; nullopt when the log no longer holds all of them or they exceed `maxBytes`.
-    std::optional<std::vector<StoreChange>> since(uint64_t after, size_t maxBytes) const;
+    /// The first changes after a revision, complete up to the revision of the last.
+    struct Step {
+        std::vector<StoreChange> changes;
+        bool                     more = false; // the log has further changes
+    };
 
-    /// The first changes after a revision, up to `maxBytes` but at least those of one revision; nullopt when the log no
-    /// longer holds all of them. They are complete up to the revision of the last.
-    std::optional<std::vector<StoreChange>> firstSince(uint64_t after, size_t maxBytes) const;
+    /// Up to `maxBytes` of keys and values, but at least the changes of one revision; nullopt when the log no longer
+    /// holds all changes after `after`.
+    std::optional<Step> since(uint64_t after, size_t maxBytes) const;
 
 private:
     struct LoggedChange {
@@ -42,13 +45,6 @@
         TimePoint   at;
     };
 
-    struct Changes {
-        std::vector<StoreChange> first;            // up to the limit of bytes, but at least those of one revision
-        bool                     tooLarge = false; // all of them exceed the limit
-    };
-
-    Changes collect(uint64_t after, size_t maxBytes) const;
-
     void eraseKey(std::string_view key);
     void dropOldest();
 
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -90,14 +90,18 @@
 
 void Follower::State::callStore()
 {
-    const bool answered = revision == 0 ? readSnapshot() : pollOnce();
+    const ListFreshness freshness = mayStartStale() ? ListFreshness::MayBeStale : ListFreshness::Latest;
+    const bool answered = revision == 0 ? readSnapshot(freshness) : pollOnce();
     if (!answered) {
         nextCallAt = clock.now() + backoff.next();
         return;
     }
     backoff.reset();
     changesMissing = false;
-    nextCallAt = clock.now() + (sources.isSeed() ? options.seedPollDelay : options.pollDelay);
+    const Duration delay = verifiedAt == TimePoint() ? options.startDelay
+                           : sources.isSeed()        ? options.seedPollDelay
+                                                     : options.pollDelay;
+    nextCallAt = clock.now() + delay;
     changed = registry.expire(clock.now()) || changed;
 }
 
@@ -109,16 +113,25 @@
     return !stopped;
 }
 
-bool Follower::State::readSnapshot()
+/// At its start, a node that will follow a seed needs no more than a state to apply the seed's changes to. Later a
+/// stale list could bring back what was removed.
+bool Follower::State::mayStartStale() const
 {
-    const auto listed = store.list(options.watchedPrefix);
+    return verifiedAt == TimePoint() && !options.sources.seeds.empty() && !sources.isSeed();
+}
+
+bool Follower::State::readSnapshot(ListFreshness freshness)
+{
+    const auto listed = store.list(options.watchedPrefix, freshness);
     if (!listed) {
         markStoreLost("list", listed.error());
         return false;
     }
     const TimePoint now = clock.now();
     reachesStore = true;
-    markStoreReachable(now);
+    if (freshness == ListFreshness::Latest) {
+        markStoreReachable(now);
+    }
     std::vector<RegisteredTarget> targets;
     for (const StoreEntry &it : listed->entries) {
         if (it.key == options.configurationKey) {
@@ -168,7 +181,7 @@
         if (changes.error().code == Code::StoreHistoryGone) {
             logEvent(Severity::Warning, "store-history-gone", {{"revision", revision}});
             revision = 0;
-            return readSnapshot();
+            return readSnapshot(ListFreshness::Latest);
         }
         markStoreLost("poll", changes.error());
         return false;
@@ -278,7 +291,7 @@
 
 void Follower::State::publish()
 {
-    if (!changed) {
+    if (!changed || verifiedAt == TimePoint()) {
         LockGuard lock(mutex);
         status.revision = revision;
         return;
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -5,8 +5,9 @@
 ///
 /// A configuration takes effect only when its version is above the one in force, whatever the store returns later.
 /// While the store is unreachable, the last known state stays in force. With seeds (source_choice.h) a node receives
-/// changes from one of them; it calls the store at its start and when no seed has fresh data. receive() takes updates
-/// in, and news() makes them for the nodes that follow this one.
+/// changes from one of them; it calls the store at its start and when no seed has fresh data. Its first list may be
+/// stale, and takes effect once a seed or the store has added the changes since. receive() takes updates in, and news()
+/// makes them for the nodes that follow this one.
 #pragma once
 
 #include "base/clock.h"
@@ -36,15 +37,16 @@
     std::string watchedPrefix;                              // covers both; changes of other keys are ignored
     Duration    pollDelay = std::chrono::milliseconds(500); // from an answer to the next poll, as each call has a cost
     Duration    pollTimeout = std::chrono::seconds(3);      // of a long poll; a lost watch is noticed only when it ends
-    BackoffOptions   backoff = {std::chrono::milliseconds(100),
-                                std::chrono::milliseconds(500)};       // while the store is unreachable
-    Duration         seedPollDelay = std::chrono::milliseconds(300);   // pollDelay of a seed; its followers wait for it
-    Duration         seedPollTimeout = std::chrono::milliseconds(400); // pollTimeout when seeds are configured
-    BackoffOptions   followerBackoff = {std::chrono::milliseconds(500),
-                                        std::chrono::milliseconds(1500)}; // backoff when all seeds are other nodes
-    SourceOptions    sources;
-    ChangeLogOptions changeLog;
-    RegistryOptions  registry;
+    BackoffOptions backoff = {std::chrono::milliseconds(100),
+                              std::chrono::milliseconds(500)};       // while the store is unreachable
+    Duration       seedPollDelay = std::chrono::milliseconds(300);   // pollDelay of a seed; its followers wait for it
+    Duration       seedPollTimeout = std::chrono::milliseconds(400); // pollTimeout when seeds are configured
+    BackoffOptions followerBackoff = {std::chrono::milliseconds(500),
+                                      std::chrono::milliseconds(1500)}; // backoff when all seeds are other nodes
+    Duration       startDelay = std::chrono::milliseconds(50); // from a first list that may be stale to the first poll
+    SourceOptions  sources;
+    ChangeLogOptions        changeLog;
+    RegistryOptions         registry;
     std::vector<DataCentre> dataCentres; // all data centres, with their regions
 };
 
@@ -80,8 +82,9 @@
     /// Queues an update from a seed. Safe from all threads; never waits for the store.
     void receive(StoreNews news);
 
-    /// The changes after the request's revision; left out (`whole` is false) when they exceed `maxBytes`, are no longer
-    /// logged, or the node does not follow this one. Safe from all threads.
+    /// The first changes after the request's revision, up to `maxBytes` or 16 KB, whichever is more; `more` when others
+    /// follow. Left out (`whole` is false) when they are no longer logged or the node does not follow this one. Safe
+    /// from all threads.
     StoreNews news(const FollowRequest &request, size_t maxBytes) const;
 
 private:
--- a/src/follow/follower_news.cpp
+++ b/src/follow/follower_news.cpp
@@ -12,7 +12,7 @@
 
 constexpr size_t InboxCapacity = 64;                   // queued updates; a dropped one is repeated by the next answer
 constexpr Duration UnknownAge = std::chrono::hours(1); // age reported by a node without any data
-constexpr size_t MinStepBytes = 16UL * 1024;           // of changes in an answer to a node that needs all of them
+constexpr size_t MinStepBytes = 16UL * 1024;           // of changes in one message, if there are so many
 
 } // namespace
 
@@ -53,7 +53,8 @@
                   {"now", source ? std::string_view(sources.address(*source)) : "store"},
                   {"knownAgeMs", verifiedAt == TimePoint() ? -1.0 : toMilliseconds(now - verifiedAt)},
                   {"revision", revision}});
-        metrics.count("damask_source_changes_total", {{"source", source ? "seed" : "store"}});
+        const std::string_view kind = !source ? "store" : sources.isRelay(*source) ? "relay" : "seed";
+        metrics.count("damask_source_changes_total", {{"source", kind}});
     }
     LockGuard lock(mutex);
     hops = sources.hops();
@@ -62,10 +63,7 @@
 
 void Follower::State::sendDueRequests()
 {
-    std::vector<SeedRequest> requests = sources.dueRequests(clock.now(), revision);
-    for (SeedRequest &it : requests) {
-        it.request.needsAll = changesMissing && !reachesStore;
-    }
+    const std::vector<SeedRequest> requests = sources.dueRequests(clock.now(), revision);
     if (!requests.empty()) {
         hooks.sendRequests(requests);
     }
@@ -176,15 +174,16 @@
     const bool everVerified = state.status.verifiedAt != TimePoint();
     out.age = everVerified ? state.clock.now() - state.status.verifiedAt : UnknownAge;
     out.hops = state.hops;
-    auto changes = state.log.since(request.revision, request.follows ? maxBytes : 0);
-    if (!changes && request.follows && request.needsAll) {
-        changes = state.log.firstSince(request.revision, std::max(maxBytes, MinStepBytes));
-        out.more = changes && !changes->empty() && changes->back().revision < out.revision;
-        out.revision = out.more ? changes->back().revision : out.revision;
-    }
-    out.whole = changes.has_value();
-    if (changes) {
-        out.changes = std::move(*changes);
+    if (!request.follows) {
+        out.whole = out.revision <= request.revision;
+        return out;
+    }
+    auto step = state.log.since(request.revision, std::max(maxBytes, MinStepBytes));
+    out.whole = step.has_value();
+    if (step) {
+        out.more = step->more;
+        out.revision = step->more ? step->changes.back().revision : out.revision;
+        out.changes = std::move(step->changes);
     }
     return out;
 }
--- a/src/follow/follower_state.h
+++ b/src/follow/follower_state.h
@@ -19,7 +19,8 @@
 
     void      run();
     void      callStore();
-    bool      readSnapshot();
+    bool      readSnapshot(ListFreshness freshness);
+    bool      mayStartStale() const;
     void      recordList(const StoreListing &listed, TimePoint now);
     bool      pollOnce();
     void      applyChange(StoreChange &change);
@@ -64,7 +65,7 @@
     bool                  changesMissing = false; // changes are missing that only the store has
     bool                  reachesStore = false;   // the last own call to the store succeeded
     TimePoint             nextCallAt{};           // earliest time of the next call to the store
-    TimePoint             verifiedAt{};           // when the store last had nothing newer
+    TimePoint             verifiedAt{};           // when the store last had nothing newer; nothing is published before
     TokenBucket           registryLines;          // log lines for changes of targets
     uint64_t              registryLinesLeftOut = 0;
 
--- a/src/follow/news.h
+++ b/src/follow/news.h
@@ -2,22 +2,25 @@
 ///
 /// Plain values. A follower sends a FollowRequest at a fixed interval, and the other node answers each with StoreNews.
 /// It also sends StoreNews unsolicited as soon as it learns of changes. An answer to a node that does not follow
-/// carries no changes.
+/// carries no changes. Changes too large for one message are sent in steps: the follower asks for the next at once.
 #pragma once
 
 #include "base/time.h"
 #include "store/protocol.h"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace damask {
 
 struct FollowRequest {
-    uint64_t number = 0;       // rises with each request of the sender; repeated in the answer
-    uint64_t revision = 0;     // store revision up to which the sender has all changes
-    bool     follows = false;  // asks for changes; false: asks only how fresh the receiver's data is
-    bool     needsAll = false; // the sender can't read from the store what an answer leaves out
+    uint64_t    number = 0;             // rises with each request of the sender; repeated in the answer
+    uint64_t    revision = 0;           // store revision up to which the sender has all changes
+    bool        follows = false;        // asks for changes; false: asks only how fresh the receiver's data is
+    std::string endpoint = {};          // IP:PORT at which the sender can be followed; empty: it can't
+    std::string dataCentre = {};        // of the sender
+    uint64_t    linkBytesPerSecond = 0; // capacity of the sender's link; 0: unknown
 };
 
 struct StoreNews {
@@ -26,9 +29,10 @@
     uint64_t                 revision = 0; // store revision up to which the sender has all changes
     Duration                 age{0};       // since the store confirmed that it had nothing newer
     int                      hops = 0;     // nodes between the sender and the store; 0: it polls the store itself
-    bool                     whole = true; // false: some changes are left out and must be read from the store
+    bool                     whole = true; // false: some changes are no longer logged and must be read from the store
     bool                     more = false; // the changes end before the sender's own revision: ask again for the next
     std::vector<StoreChange> changes;      // by ascending revision; only the last of each key
+    std::string              relay = {};   // IP:PORT of a node nearby to follow instead of the sender; empty: none
 };
 
 } // namespace damask
--- a/src/follow/source_choice.cpp
+++ b/src/follow/source_choice.cpp
@@ -27,6 +27,40 @@
     return m_own.has_value();
 }
 
+bool SourceChoice::hasRelay() const
+{
+    return m_seeds.size() > m_options.seeds.size();
+}
+
+bool SourceChoice::isRelay(size_t seed) const
+{
+    return seed >= m_options.seeds.size();
+}
+
+/// A relay that is followed is kept until it fails.
+void SourceChoice::offerRelay(std::string_view address)
+{
+    const bool known =
+        std::any_of(m_seeds.begin(), m_seeds.end(), [&](const Seed &it) { return it.address == address; });
+    if (address.empty() || isSeed() || address == m_options.own || known || (m_current && isRelay(*m_current))) {
+        return;
+    }
+    m_seeds.resize(m_options.seeds.size());
+    m_seeds.push_back({.address = std::string(address)});
+}
+
+/// A relay gets no second chance: the seed names another one as soon as it is followed again.
+void SourceChoice::dropSilentRelay(TimePoint now)
+{
+    if (!hasRelay() || m_seeds.back().requestNumber == 0 || m_seeds.back().answered || now < dueAt(m_seeds.back())) {
+        return;
+    }
+    if (m_current && isRelay(*m_current)) {
+        m_current.reset();
+    }
+    m_seeds.pop_back();
+}
+
 bool SourceChoice::answerOverdue(TimePoint now) const
 {
     return m_current && !m_othersRequested && !m_seeds[*m_current].answered
@@ -55,6 +89,7 @@
 
 std::vector<SeedRequest> SourceChoice::dueRequests(TimePoint now, uint64_t revision)
 {
+    dropSilentRelay(now);
     const bool askAll = answerOverdue(now);
     m_othersRequested = m_othersRequested || askAll;
     std::vector<SeedRequest> out;
@@ -67,7 +102,7 @@
         it.answered = false;
         it.requestedAt = now;
         it.asFollower = m_current == n;
-        out.push_back({n, {it.requestNumber, revision, it.asFollower}});
+        out.push_back({n, {it.requestNumber, revision, it.asFollower}, it.address});
     }
     return out;
 }
@@ -90,6 +125,9 @@
         return !seed.own && !seed.answered && seed.requestNumber != 0 && seed.requestNumber == news.number;
     });
     if (it == m_seeds.end()) {
+        if (news.number == 0 && news.more && m_current) {
+            m_seeds[*m_current].hasMore = true;
+        }
         return std::nullopt;
     }
     it->answered = true;
@@ -100,8 +138,13 @@
     it->hops = news.hops;
     it->roundTrip = it->answerCount == 0 ? now - it->requestedAt : std::min(it->roundTrip, now - it->requestedAt);
     it->answerCount = std::min(it->answerCount + 1, TrustedAnswerCount);
-    const bool isProof = it->asFollower && !news.more && m_current && &m_seeds[*m_current] == &*it;
-    return isProof ? std::optional(it->verifiedAt) : std::nullopt;
+    const bool isCurrent = m_current && &m_seeds[*m_current] == &*it;
+    const std::optional<TimePoint> proof =
+        it->asFollower && !news.more && isCurrent ? std::optional(it->verifiedAt) : std::nullopt;
+    if (isCurrent) {
+        offerRelay(news.relay);
+    }
+    return proof;
 }
 
 bool SourceChoice::usable(size_t n, TimePoint now, bool reachesStore) const
@@ -113,6 +156,11 @@
 
 std::optional<size_t> SourceChoice::source(TimePoint now, bool reachesStore)
 {
+    if (hasRelay() && usable(m_seeds.size() - 1, now, reachesStore)) {
+        m_othersRequested = m_othersRequested && m_current == m_seeds.size() - 1;
+        m_current = m_seeds.size() - 1;
+        return m_current;
+    }
     std::optional<size_t> best;
     for (size_t n = 0; n < m_seeds.size(); ++n) {
         if (usable(n, now, reachesStore) && (!best || m_seeds[n].roundTrip < m_seeds[*best].roundTrip)) {
--- a/src/programs/damask-node/neighbours.cpp
+++ b/src/programs/damask-node/neighbours.cpp
@@ -2,6 +2,7 @@
 
 #include "base/lock.h"
 #include "base/log.h"
+#include "follow/relay_choice.h"
 #include "wire/node.h"
 
 #include <algorithm>
@@ -35,8 +36,9 @@
 
     void receive(const WireSource &source, const Message &message);
     void answer(const WireSource &source, const FollowRequest &request);
+    std::string endpoint() const;
     size_t maxBytes(size_t receivers) const;
-    size_t addFollower(const WireSource &source, uint64_t revision);
+    size_t addFollower(const WireSource &source, const FollowRequest &request, std::string &relay);
     void removeSilentFollowers(TimePoint now);
     Message messageOf(MessageBody body) const;
 
@@ -47,6 +49,7 @@
     uint64_t incarnation = std::random_device()();
     mutable RankedMutex mutex{LockRank::Wire};
     std::map<std::string, FollowerEntry> followers; // by routing ID; under mutex
+    RelayChoice relays;                             // under mutex
     bool started = false;
     WireNode wire;
 };
@@ -56,6 +59,7 @@
     , metrics(metricsIn)
     , options(optionsIn)
     , hooks(std::move(hooksIn))
+    , relays({.dataCentre = optionsIn.dataCentre, .followerTimeout = optionsIn.followerTimeout})
     , wire(clockIn, metricsIn,
            {.name = optionsIn.instance,
             .listeners = {{peerAddress(optionsIn.address + ":"
@@ -89,8 +93,10 @@
 
 void Neighbours::State::answer(const WireSource &source, const FollowRequest &request)
 {
-    const size_t receivers = request.follows ? addFollower(source, request.revision) : 1;
-    const StoreNews news = hooks.news(request, maxBytes(receivers));
+    std::string relay;
+    const size_t receivers = request.follows ? addFollower(source, request, relay) : 1;
+    StoreNews news = hooks.news(request, maxBytes(receivers));
+    news.relay = std::move(relay);
     if (!wire.reply(source, messageOf(news))) {
         metrics.countCode("damask_wire_refusals_total", Code::QueueFull);
     }
@@ -102,17 +108,25 @@
     return std::max(static_cast<size_t>(share) / std::max<size_t>(receivers, 1), MinNewsBytes);
 }
 
-/// Returns the number of followers, including this one.
-size_t Neighbours::State::addFollower(const WireSource &source, uint64_t revision)
+/// Address and port at which other nodes can follow this one.
+std::string Neighbours::State::endpoint() const
+{
+    return wire.address(0).substr(peerAddress("").size());
+}
+
+/// Returns the number of followers, including this one, and sets the endpoint that it should follow instead.
+size_t Neighbours::State::addFollower(const WireSource &source, const FollowRequest &request, std::string &relay)
 {
     const TimePoint now = clock.now();
     LockGuard lock(mutex);
     removeSilentFollowers(now);
     const bool isNew = !followers.contains(source.routingId);
-    followers[source.routingId] = {source, revision, now};
+    followers[source.routingId] = {source, request.revision, now};
+    relay = relays.recordRequest(request, now);
     if (isNew) {
-        logEvent(Severity::Info, "follower-came",
-                 {{"followers", static_cast<uint64_t>(followers.size())}, {"revision", revision}});
+        logEvent(
+            Severity::Info, "follower-came",
+            {{"followers", static_cast<uint64_t>(followers.size())}, {"revision", request.revision}, {"relay", relay}});
     }
     return followers.size();
 }
@@ -156,8 +170,12 @@
 void Neighbours::sendRequests(std::span<const SeedRequest> requests)
 {
     for (const SeedRequest &it : requests) {
-        const WirePeer peer{.address = peerAddress(m_state->options.seeds.at(it.seed)), .serverKey = {}, .key = {}};
-        if (!m_state->wire.send(peer, m_state->messageOf(it.request))) {
+        const WirePeer peer{.address = peerAddress(it.address), .serverKey = {}, .key = {}};
+        FollowRequest request = it.request;
+        request.endpoint = m_state->endpoint();
+        request.dataCentre = m_state->options.dataCentre;
+        request.linkBytesPerSecond = m_state->options.linkBytesPerSecond;
+        if (!m_state->wire.send(peer, m_state->messageOf(std::move(request)))) {
             m_state->metrics.countCode("damask_wire_refusals_total", Code::QueueFull);
         }
     }
--- a/src/programs/damask-node/neighbours.h
+++ b/src/programs/damask-node/neighbours.h
@@ -22,12 +22,12 @@
 namespace damask {
 
 struct NeighbourOptions {
-    std::string              instance;                       // name of this instance
-    std::string              address;                        // IP address to listen on; empty: no neighbours at all
-    uint16_t                 port = 0;                       // TCP; 0: any free port
-    std::vector<std::string> seeds;                          // IP:PORT of the nodes that can be followed
-    size_t                   linkBytesPerSecond = 125000000; // capacity of this instance's link
-    Duration                 followerTimeout = std::chrono::seconds(1); // after its last request, a follower is dropped
+    std::string instance;                                  // name of this instance
+    std::string dataCentre;                                // of this instance
+    std::string address;                                   // IP address to listen on; empty: no neighbours at all
+    uint16_t    port = 0;                                  // TCP; 0: any free port
+    size_t      linkBytesPerSecond = 125000000;            // capacity of this instance's link
+    Duration    followerTimeout = std::chrono::seconds(1); // after its last request, a follower is dropped
 };
 
 struct NeighbourHooks {
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -20,16 +20,18 @@
 constexpr double MassRemovalHoldShareOfDrain = 0.35;
 
 // For updates from other nodes, as shares of the bound. A node's data is at most staleAfter old when the node polls the
-// store. The hold of a mass removal (MassRemovalHoldShareOfDrain) comes on top of this age.
-constexpr double SeedPollDelayShareOfBound = 0.1;   // between two polls of a seed; all other nodes depend on it
-constexpr double SeedPollTimeoutShareOfBound = 0.2; // of a long poll when seeds are configured
-constexpr double RequestIntervalShareOfBound = 0.1; // between two requests to the followed seed
-constexpr double AnswerTimeoutShareOfBound = 0.4;   // until an answer is overdue
-constexpr double RetryIntervalShareOfBound = 0.75;  // between two requests to a seed that does not answer
-constexpr double ScanIntervalShareOfBound = 5;      // between two requests to seeds other than the followed one
-constexpr double StaleAfterShareOfBound = 0.55;     // age of the data at which a node polls the store
-constexpr double SeedStaleAfterShareOfBound = 0.45; // the same for a seed, to be up to date before followers poll
-constexpr double MinBackoffShareOfBound = 0.5;      // of a node that is no seed; seeds poll the store more often
+// store. The hold of a mass removal (MassRemovalHoldShareOfDrain) comes on top of this age. Up to three nodes pass an
+// update on, each of which adds a request interval to the age of its proof.
+constexpr double SeedPollDelayShareOfBound = 0.08;   // between two polls of a seed; all other nodes depend on it
+constexpr double SeedPollTimeoutShareOfBound = 0.12; // of a long poll when seeds are configured
+constexpr double StartDelayShareOfBound = 0.02;      // for seeds to answer at the start; callers wait meanwhile
+constexpr double RequestIntervalShareOfBound = 0.1;  // between two requests to the followed seed
+constexpr double AnswerTimeoutShareOfBound = 0.4;    // until an answer is overdue
+constexpr double RetryIntervalShareOfBound = 0.75;   // between two requests to a seed that does not answer
+constexpr double ScanIntervalShareOfBound = 5;       // between two requests to seeds other than the followed one
+constexpr double StaleAfterShareOfBound = 0.55;      // age of the data at which a node polls the store
+constexpr double SeedStaleAfterShareOfBound = 0.45;  // the same for a seed, to be up to date before followers poll
+constexpr double MinBackoffShareOfBound = 0.5;       // of a node that is no seed; seeds poll the store more often
 constexpr double MaxBackoffShareOfBound = 1;
 constexpr double RetentionShareOfBound = 2.5; // of changes for followers; well above the age of any news
 constexpr double BytesPerMegabit = 125000;
@@ -168,6 +170,7 @@
     out.registry.lapseHold = settings.interval("store", "lapse-hold");
     out.registry.massRemovalHold = shareOf(settings.interval("bounds", "drain"), MassRemovalHoldShareOfDrain);
     out.seedPollDelay = shareOf(bound, SeedPollDelayShareOfBound);
+    out.startDelay = shareOf(bound, StartDelayShareOfBound);
     out.seedPollTimeout = shareOf(bound, SeedPollTimeoutShareOfBound);
     out.followerBackoff = {shareOf(bound, MinBackoffShareOfBound), shareOf(bound, MaxBackoffShareOfBound)};
     out.changeLog.retention = shareOf(bound, RetentionShareOfBound);
@@ -189,7 +192,7 @@
 {
     const SourceOptions &sources = out.follower.sources;
     out.neighbours.instance = out.instance;
-    out.neighbours.seeds = sources.seeds;
+    out.neighbours.dataCentre = out.balancer.dataCentre;
     out.neighbours.linkBytesPerSecond = static_cast<size_t>(settings.fraction("instance", "link") * BytesPerMegabit);
     out.neighbours.followerTimeout = sources.answerTimeout + sources.requestInterval;
     for (const std::string &it : sources.seeds) {
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -203,19 +203,19 @@
                   [&](const StoreReply &it) { return s.protocol.readGet(key, it); });
 }
 
-Result<StoreListing> StoreClient::list(std::string_view prefix)
+Result<StoreListing> StoreClient::list(std::string_view prefix, ListFreshness freshness)
 {
     State &s = *m_state;
     StoreListing out;
     std::string after;
     do {
-        auto page = s.call("list", s.protocol.list(prefix, after), CallKind::Read, s.protocol.readList);
+        auto page = s.call("list", s.protocol.list(prefix, after, freshness), CallKind::Read, s.protocol.readList);
         if (!page) {
             return page;
         }
-        // The pages are not a consistent snapshot. Polling continues from the revision of the first page, which is the
-        // oldest, so that no change is missed.
-        out.revision = after.empty() ? page->revision : out.revision;
+        // The pages are not a consistent snapshot. Polling continues from the revision of the oldest page, so that no
+        // change is missed.
+        out.revision = after.empty() ? page->revision : std::min(out.revision, page->revision);
         s.countUnreadable(page->unreadable);
         std::move(page->entries.begin(), page->entries.end(), std::back_inserter(out.entries));
         after = std::move(page->next);
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -41,8 +41,9 @@
     StoreClient(Clock &clock, Metrics &metrics, const StoreOptions &options, StoreProtocol protocol = etcdProtocol());
     ~StoreClient();
 
-    Result<StoreEntry>   get(std::string_view key);     // NotFound, StoreUnavailable, StoreBadValue
-    Result<StoreListing> list(std::string_view prefix); // StoreUnavailable, StoreBadValue
+    Result<StoreEntry> get(std::string_view key); // NotFound, StoreUnavailable, StoreBadValue
+    /// StoreUnavailable, StoreBadValue. Changes after the revision of the result may be missing in it.
+    Result<StoreListing> list(std::string_view prefix, ListFreshness freshness = ListFreshness::Latest);
     /// Long poll: the changes to keys with the prefix after a revision. Waits up to `wait` for the first change; the
     /// token ends the wait with Cancelled. StoreHistoryGone when the store has discarded these changes; then call
     /// list() again.
--- a/src/store/etcd_protocol.cpp
+++ b/src/store/etcd_protocol.cpp
@@ -249,8 +249,10 @@
         return post("/v3/kv/range", {{"key", toBase64(key)}});
     };
     out.readGet = readGetReply;
-    out.list = [](std::string_view prefix, std::string_view) {
-        return post("/v3/kv/range", {{"key", toBase64(prefix)}, {"range_end", toBase64(rangeEnd(prefix))}});
+    out.list = [](std::string_view prefix, std::string_view, ListFreshness freshness) {
+        return post("/v3/kv/range", {{"key", toBase64(prefix)},
+                                     {"range_end", toBase64(rangeEnd(prefix))},
+                                     {"serializable", freshness == ListFreshness::MayBeStale}});
     };
     out.readList = readListReply;
     out.swap = swapCall;
--- a/src/store/protocol.h
+++ b/src/store/protocol.h
@@ -17,6 +17,12 @@
 
 namespace damask {
 
+/// What a list call may return.
+enum class ListFreshness {
+    Latest,     // all that the store has acknowledged
+    MayBeStale, // possibly an earlier state, at a lower cost for the store
+};
+
 struct StoreEntry {
     std::string key;
     std::string value;
@@ -90,8 +96,9 @@
 struct StoreProtocol {
     std::function<StoreCall(std::string_view key)>                              get;
     std::function<Result<StoreEntry>(std::string_view key, const StoreReply &)> readGet; // NotFound
-    std::function<StoreCall(std::string_view prefix, std::string_view after)>   list; // one page of entries after a key
-    std::function<Result<StoreListing>(const StoreReply &)>                     readList;
+    std::function<StoreCall(std::string_view prefix, std::string_view after, ListFreshness freshness)>
+                                                            list; // one page of entries after a key
+    std::function<Result<StoreListing>(const StoreReply &)> readList;
     std::function<StoreCall(std::string_view prefix, uint64_t after, Duration wait)> poll; // changes after a revision
     std::function<Result<StoreChanges>(const StoreReply &)>                          readPoll; // StoreHistoryGone
     std::function<StoreCall(const StoreSwap &)>                                      swap;
--- a/src/wire/message.cpp
+++ b/src/wire/message.cpp
@@ -88,7 +88,9 @@
     to.mutable_follow()->set_number(from.number);
     to.mutable_follow()->set_revision(from.revision);
     to.mutable_follow()->set_follows(from.follows);
-    to.mutable_follow()->set_needs_all(from.needsAll);
+    to.mutable_follow()->set_endpoint(from.endpoint);
+    to.mutable_follow()->set_data_centre(from.dataCentre);
+    to.mutable_follow()->set_link_bytes_per_second(from.linkBytesPerSecond);
 }
 
 void write(const StoreNews &from, pb::Envelope &to)
@@ -101,6 +103,7 @@
     news.set_hops(static_cast<uint32_t>(std::max(from.hops, 0)));
     news.set_whole(from.whole);
     news.set_more(from.more);
+    news.set_relay(from.relay);
     for (const StoreChange &it : from.changes) {
         pb::StoreChange &change = *news.add_changes();
         change.set_key(it.key);
@@ -192,18 +195,38 @@
     return out;
 }
 
+Result<MessageBody> readFollowRequest(const pb::FollowRequest &from)
+{
+    for (const std::string *it : {&from.endpoint(), &from.data_centre()}) {
+        if (const auto checked = checkText(*it, MaxNameBytes, "follow"); !checked) {
+            return tl::make_unexpected(checked.error());
+        }
+    }
+    return FollowRequest{.number = from.number(),
+                         .revision = from.revision(),
+                         .follows = from.follows(),
+                         .endpoint = from.endpoint(),
+                         .dataCentre = from.data_centre(),
+                         .linkBytesPerSecond = from.link_bytes_per_second()};
+}
+
 Result<MessageBody> readStoreNews(const pb::StoreNews &from)
 {
     if (from.changes_size() > MaxItems || from.age_us() > MaxAgeMicroseconds || from.hops() > MaxHops) {
         return fail(Code::BadMessage, "store_news: a field is out of range");
     }
+    if (const auto checked = checkText(from.relay(), MaxNameBytes, "store_news.relay"); !checked) {
+        return tl::make_unexpected(checked.error());
+    }
     StoreNews out{.number = from.number(),
                   .from = from.from(),
                   .revision = from.revision(),
                   .age = std::chrono::microseconds(from.age_us()),
                   .hops = static_cast<int>(from.hops()),
                   .whole = from.whole(),
-                  .more = from.more()};
+                  .more = from.more(),
+                  .changes = {},
+                  .relay = from.relay()};
     for (const pb::StoreChange &it : from.changes()) {
         if (const auto checked = checkText(it.key(), MaxNameBytes, "store_news.key"); !checked) {
             return tl::make_unexpected(checked.error());
@@ -234,8 +257,7 @@
     case pb::Envelope::kHeartbeat:
         return readHeartbeat(from.heartbeat());
     case pb::Envelope::kFollow:
-        return FollowRequest{from.follow().number(), from.follow().revision(), from.follow().follows(),
-                             from.follow().needs_all()};
+        return readFollowRequest(from.follow());
     case pb::Envelope::kStoreNews:
         return readStoreNews(from.store_news());
     case pb::Envelope::BODY_NOT_SET:
