route: while slots are short, calls that are late already make way for calls in time

Refused callers came back after 0.1 of their time, competed with new calls, and nodes without a call in flight sent blindly to targets that a fresh report showed full. Change: a call whose caller has less time left than callers have at first (DeadlineHistory) and that has missed its objective is refused on arrival, before any probe, while a call in time of its rank or a more urgent one has lacked a slot within the last objective (Shortage, ObjectiveMissed); it is queued behind calls in time of its rank. Retry-After for lack of slots is spread over 0.17 to 0.33 of the caller's time (come-back-share-full). With a report of the last 100 ms no call is sent unseen. Ruled out: the probes' race between nodes (of calls late at the worker, few had a stale report); the queue at the node (62 ms).

--- a/src/base/result.cpp
+++ b/src/base/result.cpp
@@ -36,6 +36,8 @@
     CodeInfo{Code::RuleUnusable, "RuleUnusable", "The matching rule has a part that this version can't use."},
     CodeInfo{Code::TargetsPushBack, "TargetsPushBack",
              "All targets of the service have asked this instance to send nothing for a while."},
+    CodeInfo{Code::ObjectiveMissed, "ObjectiveMissed",
+             "The call can no longer meet its latency objective, and the service lacks slots for calls that can."},
     CodeInfo{Code::AnswerTimeout, "AnswerTimeout", "The target did not answer before the deadline."},
     CodeInfo{Code::ConnectionLost, "ConnectionLost",
              "The connection broke after at least part of the request had been sent."},
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -36,6 +36,7 @@
     TargetReplaced = 116,
     RuleUnusable = 117,
     TargetsPushBack = 118,
+    ObjectiveMissed = 119,
 
     // 2xx: the call may have run ("unknown"), or its response was unusable
     AnswerTimeout = 201,
--- a/src/programs/damask-node/node.cpp
+++ b/src/programs/damask-node/node.cpp
@@ -121,9 +121,13 @@
 {
 }
 
-/// Probes the best candidates first, so that the choice is based on current load.
+/// Probes the best candidates first, so that the choice is based on current load. A call that is refused anyway is
+/// refused before.
 Result<Permit> Node::State::acquire(const AcquireRequest &request)
 {
+    if (const Code code = balancer.admit(request); code != Code::Ok) {
+        return fail(code);
+    }
     const size_t probed = selectionProbe.probe(request);
     auto permit = balancer.acquire(request);
     if (permit) {
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -72,6 +72,9 @@
      600000},
     {"route", "come-back-share", SettingType::Fraction, "0.1",
      "Share of its remaining time after which a refused caller may retry.", 0, 1},
+    {"route", "come-back-share-full", SettingType::Fraction, "0.33",
+     "The same for a caller that was refused for lack of slots; the time is spread from half of it to all of it.", 0,
+     1},
     {"log", "each", SettingType::Number, "64",
      "One in this many ordinary calls is logged; 0: none. Failed and late calls are always logged.", 0, 1000000},
     {"look", "at-once", SettingType::Number, "2", "Targets probed in parallel before a call; 0: none.", 0, 16},
@@ -238,10 +241,12 @@
     out.dispatcher.deadlineMargin = settings.interval("route", "safety");
     out.dispatcher.traceCapacity = countOf(settings, "route", "why-events");
     out.dispatcher.retryAfterShare = settings.fraction("route", "come-back-share");
+    out.dispatcher.noRoomRetryAfterShare = settings.fraction("route", "come-back-share-full");
     out.dispatcher.logSampleInterval = countOf(settings, "log", "each");
     out.retryRatio = settings.fraction("route", "retry-ratio");
     out.retryWindow = settings.interval("route", "retry-window");
     out.queueWait = settings.interval("route", "queue-wait");
+    out.balancer.trustedReportAge = std::chrono::milliseconds(100);
     out.balancer.queueShare = settings.fraction("route", "queue-share");
     out.queueLimit = countOf(settings, "route", "queue");
     out.store.connectTimeout = settings.interval("store", "connect-timeout");
--- a/src/route/balancer.cpp
+++ b/src/route/balancer.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-constexpr std::array RefusalCodes{Code::NoSuchService, Code::NoTarget,         Code::QueueFull,
-                                  Code::QueueTimeout,  Code::DeadlineTooShort, Code::FairShareExceeded,
-                                  Code::Cancelled,     Code::NoConfiguration,  Code::TargetsPushBack};
+constexpr std::array RefusalCodes{
+    Code::NoSuchService,     Code::NoTarget,  Code::QueueFull,       Code::QueueTimeout,    Code::DeadlineTooShort,
+    Code::FairShareExceeded, Code::Cancelled, Code::NoConfiguration, Code::TargetsPushBack, Code::ObjectiveMissed};
 
 /// The counters of one service, resolved once so that calls need no lookup.
 struct ServiceCounters {
@@ -266,6 +266,21 @@
     }
 }
 
+Code Balancer::admit(const AcquireRequest &request)
+{
+    const TablePointer shared = m_state->find(request.service);
+    if (!shared) {
+        return Code::NoSuchService;
+    }
+    Code out = Code::Ok;
+    {
+        LockGuard lock(shared->mutex);
+        out = shared->table.arrive(request, m_state->clock.now());
+    }
+    shared->counters.countRefusal(out);
+    return out;
+}
+
 Result<Permit> Balancer::acquire(const AcquireRequest &request)
 {
     const TablePointer shared = m_state->find(request.service);
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -1,7 +1,8 @@
 /// Tracks the load of all targets and grants permits to send: one permit for each attempt of a call.
 ///
 /// Usage, from any thread that serves a call:
-///     auto permit = balancer.acquire({.service = "listings", .deadline = deadline});
+///     if (balancer.admit(request) != Code::Ok) ... refuse the call at once
+///     auto permit = balancer.acquire(request);
 ///     ... send to permit->address ...
 ///     balancer.finish(*permit, report);   // exactly once for each permit
 /// A non-blocking front end uses acquireLater() and calls processQueue() again at the time that it returned.
@@ -50,6 +51,7 @@
     bool                         mayWait = true;     // false: refuse at once if no slot is free (hedges)
     int                          rank = 0;           // priority; 0 is the most urgent and is served first
     Duration                     objective{0};       // latency objective; 0: none
+    Duration                     callerTimeLeft{0};  // as the caller stated it on arrival; 0: not stated
     CancelToken                 *cancel = nullptr;   // ends a wait early; may be null
 };
 
@@ -70,6 +72,9 @@
     TargetLoadSnapshot                   snapshot;  // of the target, at the choice
     size_t                               asked = 0; // targets probed before the choice
     Duration                             waited{0}; // time spent in the queue
+    int                                  rank = 0;  // of the call
+    Duration                             objective{0};
+    bool                                 late = false; // the call could not meet its objective any more
 };
 
 /// The result of an attempt, returned with its permit.
@@ -122,10 +127,12 @@
     size_t      traceCapacity = 4096;                              // decisions kept for `damaskctl why`
     Duration    queuePollInterval = std::chrono::milliseconds(2);  // between re-evaluations, because estimates age
     Duration    slowdownHalfLife = std::chrono::milliseconds(250); // of a reported slowdown
-    double      queueShare = 1;         // share of a call's latency objective that it may spend queued
-    Duration    otherDataCentreCost{0}; // time that a target there must save to be chosen; added to its link delay
-    Duration    otherRegionCost{0};     // the same for a target in another region
-    Duration    costPerMegabyte{0};     // of request body, added to both: large bodies are worth more waiting nearby
+    Duration    trustedReportAge{
+        0};               // with a report this young, a lack of own calls in flight is no reason to send blindly
+    double   queueShare = 1; // share of a call's latency objective that it may spend queued
+    Duration otherDataCentreCost{0}; // time that a target there must save to be chosen; added to its link delay
+    Duration otherRegionCost{0};     // the same for a target in another region
+    Duration costPerMegabyte{0};     // of request body, added to both: large bodies are worth more waiting nearby
 };
 
 /// A target was ejected because of failures, or reinstated.
@@ -163,6 +170,7 @@
     ~Balancer();
 
     void           apply(std::shared_ptr<const Configuration> configuration); // revision must not decrease (asserted)
+    Code           admit(const AcquireRequest &request);   // Ok, or why the call is refused without further work
     Result<Permit> acquire(const AcquireRequest &request); // fails with a 1xx Code or Cancelled; nothing was sent
     uint64_t       acquireLater(const AcquireRequest &request, GrantHook granted); // non-blocking; wait id or 0
     void           cancelWait(std::string_view service, uint64_t waitId);    // refuses a queued call with Cancelled
--- a/src/route/dispatcher.cpp
+++ b/src/route/dispatcher.cpp
@@ -6,6 +6,7 @@
 #include "route/rules.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace damask {
@@ -16,6 +17,7 @@
 constexpr double SnapshotBurst = 20;
 constexpr double LogLinesPerSecond = 50; // call log lines; the metrics count every call
 constexpr double LogLineBurst = 200;
+constexpr double GoldenRatioConjugate = 0.6180339887498949; // multiples modulo 1 are evenly distributed in [0, 1)
 constexpr uint64_t UnknownBodyBytes = 256UL * 1024; // assumed of a streamed body whose length is not known in advance
 
 float toFloatMs(Duration duration)
@@ -52,6 +54,16 @@
     out.asked = static_cast<uint16_t>(permit.asked);
 }
 
+bool isLackOfRoom(Code code)
+{
+    return code == Code::QueueFull || code == Code::QueueTimeout || code == Code::ObjectiveMissed;
+}
+
+Duration shareOf(Duration time, double share)
+{
+    return std::chrono::duration_cast<Duration>(std::max(time, Duration::zero()) * share);
+}
+
 size_t bodyBytes(const CallRequest &request)
 {
     return request.stream ? static_cast<size_t>(request.stream->length.value_or(UnknownBodyBytes))
@@ -140,16 +152,18 @@
 {
     call.route.state->budget.deposit(clock.now());
     while (true) {
-        const auto permit = hooks.acquire({.service = call.route.service->name,
-                                           .caller = call.request.caller,
-                                           .dataCentres = call.route.rule->dataCentres,
-                                           .deadline = call.deadline,
-                                           .idempotent = call.idempotent,
-                                           .avoid = call.avoid,
-                                           .bodyBytes = bodyBytes(call.request),
-                                           .rank = call.route.rule->rank,
-                                           .objective = call.route.rule->objective,
-                                           .cancel = &cancel});
+        const AcquireRequest request{.service = call.route.service->name,
+                                     .caller = call.request.caller,
+                                     .dataCentres = call.route.rule->dataCentres,
+                                     .deadline = call.deadline,
+                                     .idempotent = call.idempotent,
+                                     .avoid = call.avoid,
+                                     .bodyBytes = bodyBytes(call.request),
+                                     .rank = call.route.rule->rank,
+                                     .objective = call.route.rule->objective,
+                                     .callerTimeLeft = call.request.timeLeft.value_or(Duration(0)),
+                                     .cancel = &cancel};
+        const auto permit = hooks.acquire(request);
         if (!permit) {
             call.pushedBack = permit.error().code == Code::TargetsPushBack;
             return buildResponse(call, cancel.cancelled() ? Code::Cancelled : refusalCode(permit.error().code));
@@ -225,8 +239,9 @@
 }
 
 /// Sets when the caller may retry: when the first target that pushes back takes requests again, or else after a share
-/// of the caller's remaining time, if known, since a retry after its deadline is useless.
-void Dispatcher::State::setRetryAfter(const CallState &call, CallResponse &response) const
+/// of the caller's remaining time, if known, since a retry after its deadline is useless. Callers that were refused for
+/// lack of room come back later, and not all at once.
+void Dispatcher::State::setRetryAfter(const CallState &call, CallResponse &response)
 {
     if (call.pushedBack && response.retryAfter > Duration::zero()) {
         response.retryAfter = std::max(hooks.pushBackLeft(call.route.service->name), options.minRetryAfter);
@@ -236,9 +251,14 @@
         return;
     }
     const Duration left = call.request.arrivedAt + *call.request.timeLeft - clock.now();
-    const Duration share =
-        std::chrono::duration_cast<Duration>(std::max(left, Duration::zero()) * options.retryAfterShare);
-    response.retryAfter = std::clamp(share, options.minRetryAfter, response.retryAfter);
+    if (isLackOfRoom(response.code) && options.noRoomRetryAfterShare > 0) {
+        const auto count = static_cast<double>(noRoomRefusals.fetch_add(1, std::memory_order_relaxed));
+        const double spread = (1 + std::fmod(count * GoldenRatioConjugate, 1.0)) / 2;
+        response.retryAfter = std::max(shareOf(left, options.noRoomRetryAfterShare * spread), options.minRetryAfter);
+        return;
+    }
+    response.retryAfter =
+        std::clamp(shareOf(left, options.retryAfterShare), options.minRetryAfter, response.retryAfter);
 }
 
 void Dispatcher::State::saveTrace(CallState &call, const CallResponse &response)
--- a/src/route/dispatcher.h
+++ b/src/route/dispatcher.h
@@ -49,6 +49,9 @@
     // Retry-After of a rejected call as a share of the caller's remaining time. 0: always one second.
     double   retryAfterShare = 0;
     Duration minRetryAfter = std::chrono::milliseconds(10); // lower limit when retryAfterShare is used
+
+    // The same for calls that found no slot: between half of it and all of it, spread evenly. 0: as retryAfterShare.
+    double noRoomRetryAfterShare = 0;
 };
 
 class Dispatcher
--- a/src/route/dispatcher_state.h
+++ b/src/route/dispatcher_state.h
@@ -9,6 +9,7 @@
 #include "route/dispatcher_table.h"
 #include "route/hedge.h"
 
+#include <atomic>
 #include <memory>
 
 namespace damask {
@@ -28,7 +29,7 @@
     AttemptResult attempt(CallState &call, const Permit &permit, CancelToken &cancel);
     AttemptResult send(const CallState &call, const Permit &permit, CancelToken &cancel);
     RetryDenial   decideRetry(const CallState &call, const AttemptResult &last, const CancelToken &cancel);
-    void          setRetryAfter(const CallState &call, CallResponse &response) const;
+    void          setRetryAfter(const CallState &call, CallResponse &response);
     void          saveTrace(CallState &call, const CallResponse &response);
     void          logCall(const CallTrace &trace);
 
@@ -48,6 +49,8 @@
     mutable RankedMutex               configurationMutex{LockRank::Configuration};
     std::shared_ptr<const RouteTable> table;
 
+    std::atomic<uint64_t> noRoomRefusals{0}; // spreads their Retry-After
+
     RankedMutex snapshotMutex{LockRank::Route}; // guards the limiters and log counters below
     TokenBucket snapshotLimiter;                // traces that include the state of all targets
     TokenBucket logLineLimiter;                 // call log lines
--- a/src/route/service_feedback.cpp
+++ b/src/route/service_feedback.cpp
@@ -95,6 +95,9 @@
     case AttemptEnd::Refused:
         if (!reportsFreeSlot(entry, report, now)) {
             entry.load.refused(entry.target.slots);
+            if (!permit.late) {
+                m_shortage.record(permit.rank, permit.objective, now);
+            }
         }
         if (freeSlot && !entry.reportsDrain && !entry.leaving) {
             recordFailure(entry, now, "failure");
@@ -165,6 +168,7 @@
     // A busy target reports less often, so each report is weighted by the time since the previous one.
     const bool first = entry.load.lastReport() < 0;
     const Duration since = first ? FirstReportSpan : takenAt - entry.load.reportedAt();
+    m_lastReportAt = std::max(m_lastReportAt, takenAt);
     entry.load.reported(report, takenAt, m_fleetOthers);
     if (report.slowdown > 0) {
         m_fleetSlowdown += SlowdownWeight * (static_cast<float>(report.slowdown) - m_fleetSlowdown);
--- a/src/route/service_table.cpp
+++ b/src/route/service_table.cpp
@@ -238,6 +238,25 @@
     return out;
 }
 
+/// Whether the caller's first attempt was so long ago that no answer can be within the objective.
+bool ServiceTable::isLate(const AcquireRequest &request) const
+{
+    const auto it = m_deadlines.find(request.rank);
+    return it != m_deadlines.end() && request.objective > Duration(0) && request.callerTimeLeft > Duration(0)
+           && it->second.minAge(request.callerTimeLeft) >= request.objective;
+}
+
+Code ServiceTable::arrive(const AcquireRequest &request, TimePoint now)
+{
+    const bool known = m_deadlines.contains(request.rank) || m_deadlines.size() < MaxRanks;
+    if (known && request.callerTimeLeft > Duration(0) && !m_shortage.active(now)) {
+        m_deadlines[request.rank].record(request.callerTimeLeft);
+    }
+    const Code code = admit(request, now);
+    const bool makesWay = code == Code::Ok && m_shortage.holdsBack(request.rank, now) && isLate(request);
+    return makesWay ? Code::ObjectiveMissed : code;
+}
+
 Code ServiceTable::admit(const AcquireRequest &request, TimePoint now) const
 {
     if (m_retired) {
@@ -309,7 +328,13 @@
 
 bool ServiceTable::mayIgnoreEstimates(TimePoint now) const
 {
-    if (m_inFlight == 0 || m_replacementCredit > 0) {
+    if (m_replacementCredit > 0) {
+        return true;
+    }
+    if (m_lastReportAt != TimePoint() && now - m_lastReportAt <= m_options.trustedReportAge) {
+        return false;
+    }
+    if (m_inFlight == 0) {
         return true;
     }
     const Duration silence = std::max(MinSilence, fromMilliseconds(MaxSilenceAnswerTimes * m_fleetTime));
@@ -464,6 +489,9 @@
     permit.service = m_service.name;
     permit.grantedAt = now;
     permit.waited = waited;
+    permit.rank = request.rank;
+    permit.objective = request.objective;
+    permit.late = isLate(request);
     const TargetView view = viewOf(target, request.bodyBytes, now);
     permit.snapshot = {.reportAge = target.load.lastReport() >= 0 ? view.reportAge : -1,
                        .estimate = static_cast<float>(view.estimate),
@@ -499,6 +527,9 @@
     waiter.idempotent = request.idempotent;
     waiter.bodyBytes = request.bodyBytes;
     waiter.rank = request.rank;
+    waiter.objective = request.objective;
+    waiter.callerTimeLeft = request.callerTimeLeft;
+    waiter.late = isLate(request);
     waiter.granted = std::move(granted);
     waiter.expiresAt = now + queueWait(request);
     const TimePoint latest = request.deadline == Never ? Never : request.deadline - m_expected.lowQuantile(now);
@@ -506,7 +537,12 @@
         waiter.expiresAt = latest;
         waiter.expiryCode = Code::DeadlineTooShort;
     }
-    return m_queue.add(std::move(waiter), resolved);
+    const bool late = waiter.late;
+    const Code code = m_queue.add(std::move(waiter), resolved);
+    if (code != Code::Ok && !late) {
+        m_shortage.record(request.rank, request.objective, now);
+    }
+    return code;
 }
 
 void ServiceTable::cancel(uint64_t id, std::vector<ResolvedWait> &resolved)
@@ -520,7 +556,11 @@
 
 TimePoint ServiceTable::processQueue(TimePoint now, std::vector<ResolvedWait> &resolved)
 {
-    m_queue.refuseExpired(now, resolved);
+    m_queue.refuseExpired(now, resolved, [&](const Waiter &it) {
+        if (!it.late) {
+            m_shortage.record(it.rank, it.objective, now);
+        }
+    });
     while (!m_queue.empty() && grantOne(now, resolved)) { }
     m_replacementCredit = 0;
     return m_queue.empty() ? Never : std::min(m_queue.earliestExpiry(), now + m_options.queuePollInterval);
--- a/src/route/service_table.h
+++ b/src/route/service_table.h
@@ -6,9 +6,11 @@
 #include "config/model.h"
 #include "route/balancer.h"
 #include "route/caller_share.h"
+#include "route/deadline_history.h"
 #include "route/expected_time.h"
 #include "route/region_budget.h"
 #include "route/report_trust.h"
+#include "route/shortage.h"
 #include "route/target_health.h"
 #include "route/target_load.h"
 #include "route/wait_queue.h"
@@ -61,6 +63,7 @@
 public:
     static constexpr size_t MaxCandidates = 24;     // targets considered in one choice
     static constexpr size_t MaxRecentReporters = 8; // of these, the latest to report
+    static constexpr size_t MaxRanks = 16;          // with a history of deadlines
 
     ServiceTable(const BalancerOptions &options, const BalancerHooks &hooks, std::string_view name, TimePoint now);
 
@@ -69,6 +72,7 @@
     bool retired() const;
     int  inFlight() const;
 
+    Code   arrive(const AcquireRequest &request, TimePoint now);      // as admit(), or ObjectiveMissed; once a call
     Code   admit(const AcquireRequest &request, TimePoint now) const; // Ok, NoSuchService or DeadlineTooShort
     Choice choose(const AcquireRequest &request, TimePoint now, Duration waited);
     std::vector<TargetCandidate> bestCandidates(const AcquireRequest &request, TimePoint now, size_t limit);
@@ -94,6 +98,7 @@
     void         remember(const TargetEntry &entry, TimePoint now);
     void         recall(TargetEntry &entry) const;
     void         sortByDistance();
+    bool         isLate(const AcquireRequest &request) const;
     bool         grantOne(TimePoint now, std::vector<ResolvedWait> &resolved); // false: nothing to grant now
     bool         draining(const TargetEntry &entry, TimePoint now) const;
     bool         allowed(const TargetEntry &entry, const AcquireRequest &request, TimePoint now) const;
@@ -133,6 +138,8 @@
     bool                                      m_regionOpen = true; // the cross-region budget allows this choice
     WaitQueue                                 m_queue;
     CallerShares                              m_shares;
+    std::map<int, DeadlineHistory>            m_deadlines; // by rank; at most MaxRanks
+    Shortage                                  m_shortage;
     ExpectedTime                              m_expected;
     ReportTrust                               m_trust;
     RegionBudget                              m_regionBudget;
@@ -143,6 +150,7 @@
     uint64_t                                  m_revision = 0; // of the applied configuration
     int                                       m_inFlight = 0;
     size_t                                    m_ejected = 0;           // targets, including half-open ones
+    TimePoint                                 m_lastReportAt{};        // latest of any target
     TimePoint                                 m_lastProgressAt{};      // last answer, or grant that ignored estimates
     int                                       m_replacementCredit = 0; // calls that may replace one that just ended
     bool                                      m_retired = false;
--- a/src/route/wait_queue.cpp
+++ b/src/route/wait_queue.cpp
@@ -16,6 +16,8 @@
     n.avoid = avoid;
     n.bodyBytes = bodyBytes;
     n.rank = rank;
+    n.objective = objective;
+    n.callerTimeLeft = callerTimeLeft;
     return n;
 }
 
@@ -24,6 +26,11 @@
     return !dataCentres.empty() || !avoid.empty();
 }
 
+bool Waiter::isBefore(const Waiter &other) const
+{
+    return rank != other.rank ? rank < other.rank : !late && other.late;
+}
+
 WaitQueue::WaitQueue(size_t limit)
     : m_limit(limit)
 {
@@ -51,7 +58,7 @@
         return Code::Ok;
     }
     const int last = latestLeastUrgent();
-    if (last >= 0 && m_waiters[last].rank > waiter.rank) {
+    if (last >= 0 && waiter.isBefore(m_waiters[last])) {
         Waiter displaced = take(last);
         resolved.push_back({std::move(displaced.granted), fail(Code::QueueFull)});
         m_waiters.push_back(std::move(waiter));
@@ -101,11 +108,15 @@
     return first;
 }
 
-void WaitQueue::refuseExpired(TimePoint now, std::vector<ResolvedWait> &resolved)
+void WaitQueue::refuseExpired(TimePoint now, std::vector<ResolvedWait> &resolved,
+                              const std::function<void(const Waiter &)> &refused)
 {
     for (size_t n = m_waiters.size(); n > 0; --n) {
         if (m_waiters[n - 1].expiresAt <= now) {
             Waiter waiter = take(n - 1);
+            if (refused) {
+                refused(waiter);
+            }
             resolved.push_back({std::move(waiter.granted), fail(waiter.expiryCode)});
         }
     }
@@ -126,8 +137,8 @@
     const auto before = [&](size_t left, size_t right) {
         const Waiter &a = m_waiters[left];
         const Waiter &b = m_waiters[right];
-        if (a.rank != b.rank) {
-            return a.rank < b.rank;
+        if (a.rank != b.rank || a.late != b.late) {
+            return a.isBefore(b);
         }
         const uint32_t aShare = shares.inFlight(a.caller);
         const uint32_t bShare = shares.inFlight(b.caller);
@@ -161,7 +172,7 @@
 {
     int last = -1;
     for (size_t n = 0; n < m_waiters.size(); ++n) {
-        if (last < 0 || m_waiters[n].rank >= m_waiters[last].rank) {
+        if (last < 0 || !m_waiters[n].isBefore(m_waiters[last])) {
             last = static_cast<int>(n);
         }
     }
--- a/src/route/wait_queue.h
+++ b/src/route/wait_queue.h
@@ -1,5 +1,6 @@
-/// The bounded queue of calls that wait in this instance for a slot of one service. Ordered by rank, then by the calls
-/// that each caller has in flight (fair share), then by expiry.
+/// The bounded queue of calls that wait in this instance for a slot of one service. Ordered by rank, then calls that
+/// can meet their objective before those that are late already, then by the calls that each caller has in flight (fair
+/// share), then by expiry.
 ///
 /// Not thread-safe: the caller holds the lock of the service, passes the time and runs the hooks after unlocking.
 #pragma once
@@ -25,12 +26,16 @@
     Code                     expiryCode = Code::QueueTimeout;
     TimePoint                arrivedAt;
     bool                     idempotent = false;
-    int                      rank = 0; // 0 is the most urgent
+    int                      rank = 0;     // 0 is the most urgent
+    bool                     late = false; // can no longer meet its objective
+    Duration                 objective{0};
+    Duration                 callerTimeLeft{0}; // on arrival
     size_t                   bodyBytes = 0;
     GrantHook                granted;
 
-    AcquireRequest request() const;    // refers to this waiter
-    bool           restricted() const; // only some targets may take the call
+    AcquireRequest request() const;                     // refers to this waiter
+    bool           restricted() const;                  // only some targets may take the call
+    bool           isBefore(const Waiter &other) const; // by rank and lateness
 };
 
 /// A waiter that left the queue and its result. The hook runs after the lock is released.
@@ -53,7 +58,8 @@
     int       positionOf(uint64_t id) const;                           // -1: not found
     size_t    countExpiringBy(TimePoint expiresAt) const;              // waiters with that expiry or an earlier one
     TimePoint earliestExpiry() const;                                  // Never when empty
-    void      refuseExpired(TimePoint now, std::vector<ResolvedWait> &resolved);
+    void      refuseExpired(TimePoint now, std::vector<ResolvedWait> &resolved,
+                            const std::function<void(const Waiter &)> &refused = {});
     void      refuseAll(Code code, std::vector<ResolvedWait> &resolved);
 
     std::vector<size_t> grantOrder(const CallerShares &shares) const; // positions, next to be granted first
