follow: a node that no seed answers serves by the first page of its first list

Ruled out: a stale first page, by which a worker that has left could be used again; a random part of the keys, whose form is the platform's. Test: news::a_node_that_no_seed_answers_reads_the_latest_list_and_serves_by_its_first_page (fails before).

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -71,13 +71,16 @@
 
 void Follower::State::run()
 {
+    const bool asksSeeds = !options.sources.seeds.empty() && !sources.isSeed() && !options.systemStarts;
+    nextCallAt = asksSeeds ? clock.now() + options.startDelay : TimePoint();
     bool running = true;
     while (running) {
         processInbox();
         sendDueRequests();
         const TimePoint now = clock.now();
         if (mustCallStore(now)) {
-            if (now >= nextCallAt) {
+            const bool seedAnswered = !called && source;
+            if (now >= nextCallAt || seedAnswered) {
                 callStore();
             }
         } else if (source && registry.nextExpiry() <= now) {
@@ -90,6 +93,7 @@
 
 void Follower::State::callStore()
 {
+    called = true;
     const ListFreshness freshness = mayStartStale() ? ListFreshness::MayBeStale : ListFreshness::Latest;
     const bool answered = revision == 0 ? readSnapshot(freshness) : pollOnce();
     if (!answered) {
@@ -113,16 +117,48 @@
     return !stopped;
 }
 
-/// At its start, a node that will follow a seed needs no more than a state to apply the seed's changes to. Later a
-/// stale list could bring back what was removed.
+/// At its start, a node that follows a seed needs no more than a state to apply the seed's changes to. Without a seed
+/// callers wait for its first list, unless the whole system starts. Later a stale list could bring back what was
+/// removed.
 bool Follower::State::mayStartStale() const
 {
-    return verifiedAt == TimePoint() && !options.sources.seeds.empty() && !sources.isSeed();
+    const bool followsLater = !options.sources.seeds.empty() && !sources.isSeed();
+    return verifiedAt == TimePoint() && followsLater && (source || options.systemStarts);
+}
+
+void Follower::State::readEntries(std::span<const StoreEntry> entries, std::vector<RegisteredTarget> &targets)
+{
+    for (const StoreEntry &it : entries) {
+        if (it.key == options.configurationKey) {
+            applyConfiguration(it.value, it.version);
+        } else if (it.key.starts_with(options.targetPrefix)) {
+            applyTarget(std::string_view(it.key).substr(options.targetPrefix.size()), it.value, it.version, &targets);
+        }
+    }
+}
+
+/// Serves by part of the targets while the other pages are read: when all nodes start at once, the store's link is
+/// busy with their lists for a second or more.
+void Follower::State::startFromFirstPage(const StoreListing &page)
+{
+    markStoreReachable(clock.now());
+    std::vector<RegisteredTarget> targets;
+    readEntries(page.entries, targets);
+    for (const RegisteredTarget &it : targets) {
+        registry.put(it);
+    }
+    changed = true;
+    publish();
 }
 
 bool Follower::State::readSnapshot(ListFreshness freshness)
 {
-    const auto listed = store.list(options.watchedPrefix, freshness);
+    const bool isFirst = verifiedAt == TimePoint() && freshness == ListFreshness::Latest;
+    const auto listed = store.list(options.watchedPrefix, freshness, [&](const StoreListing &page) {
+        if (isFirst) {
+            startFromFirstPage(page);
+        }
+    });
     if (!listed) {
         markStoreLost("list", listed.error());
         return false;
@@ -133,13 +169,7 @@
         markStoreReachable(now);
     }
     std::vector<RegisteredTarget> targets;
-    for (const StoreEntry &it : listed->entries) {
-        if (it.key == options.configurationKey) {
-            applyConfiguration(it.value, it.version);
-        } else if (it.key.starts_with(options.targetPrefix)) {
-            applyTarget(std::string_view(it.key).substr(options.targetPrefix.size()), it.value, it.version, &targets);
-        }
-    }
+    readEntries(listed->entries, targets);
     recordList(*listed, now);
     registry.replace(targets, listed->revision, now);
     changed = true;
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -43,8 +43,9 @@
     Duration       seedPollTimeout = std::chrono::milliseconds(400); // pollTimeout when seeds are configured
     BackoffOptions followerBackoff = {std::chrono::milliseconds(500),
                                       std::chrono::milliseconds(1500)}; // backoff when all seeds are other nodes
-    Duration       startDelay = std::chrono::milliseconds(50); // from a first list that may be stale to the first poll
-    SourceOptions  sources;
+    Duration startDelay = std::chrono::milliseconds(50); // for seeds to answer, before the first list and first poll
+    bool     systemStarts = false; // all nodes start for the first time: no caller waits for the first list
+    SourceOptions           sources;
     ChangeLogOptions        changeLog;
     RegistryOptions         registry;
     std::vector<DataCentre> dataCentres; // all data centres, with their regions
--- a/src/follow/follower_state.h
+++ b/src/follow/follower_state.h
@@ -21,6 +21,8 @@
     void      callStore();
     bool      readSnapshot(ListFreshness freshness);
     bool      mayStartStale() const;
+    void      readEntries(std::span<const StoreEntry> entries, std::vector<RegisteredTarget> &targets);
+    void      startFromFirstPage(const StoreListing &page);
     void      recordList(const StoreListing &listed, TimePoint now);
     bool      pollOnce();
     void      applyChange(StoreChange &change);
@@ -65,6 +67,7 @@
     bool                  changesMissing = false; // changes are missing that only the store has
     bool                  reachesStore = false;   // the last own call to the store succeeded
     TimePoint             nextCallAt{};           // earliest time of the next call to the store
+    bool                  called = false;         // the store was called at least once
     TimePoint             verifiedAt{};           // when the store last had nothing newer; nothing is published before
     TokenBucket           registryLines;          // log lines for changes of targets
     uint64_t              registryLinesLeftOut = 0;
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -40,6 +40,8 @@
     {"instance", "name", SettingType::Text, "node", "Name of this instance, unique in the system."},
     {"instance", "data-centre", SettingType::Text, "", "Data centre of this instance, one of data-centres."},
     {"instance", "data-centres", SettingType::List, "", "All data centres, each as NAME:REGION."},
+    {"instance", "first-start", SettingType::Flag, "no",
+     "The whole system starts for the first time: callers come later, so the first list need not be the latest."},
     {"instance", "memory", SettingType::Number, "256", "MB that the process may use.", 16, 1048576},
     {"instance", "link", SettingType::Fraction, "1000", "Capacity of its link in Mbit/s.", 0.1, 1000000},
     {"instance", "descriptors", SettingType::Number, "4096", "Maximum number of open files and sockets.", 256,
@@ -174,6 +176,7 @@
     out.registry.massRemovalHold = shareOf(settings.interval("bounds", "drain"), MassRemovalHoldShareOfDrain);
     out.seedPollDelay = shareOf(bound, SeedPollDelayShareOfBound);
     out.startDelay = shareOf(bound, StartDelayShareOfBound);
+    out.systemStarts = settings.flag("instance", "first-start");
     out.seedPollTimeout = shareOf(bound, SeedPollTimeoutShareOfBound);
     out.followerBackoff = {shareOf(bound, MinBackoffShareOfBound), shareOf(bound, MaxBackoffShareOfBound)};
     out.changeLog.retention = shareOf(bound, RetentionShareOfBound);
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -203,7 +203,8 @@
                   [&](const StoreReply &it) { return s.protocol.readGet(key, it); });
 }
 
-Result<StoreListing> StoreClient::list(std::string_view prefix, ListFreshness freshness)
+Result<StoreListing> StoreClient::list(std::string_view prefix, ListFreshness freshness,
+                                       const std::function<void(const StoreListing &)> &firstPage)
 {
     State &s = *m_state;
     StoreListing out;
@@ -216,6 +217,9 @@
         // The pages are not a consistent snapshot. Polling continues from the revision of the oldest page, so that no
         // change is missed.
         out.revision = after.empty() ? page->revision : std::min(out.revision, page->revision);
+        if (firstPage && after.empty() && !page->next.empty()) {
+            firstPage(*page);
+        }
         s.countUnreadable(page->unreadable);
         std::move(page->entries.begin(), page->entries.end(), std::back_inserter(out.entries));
         after = std::move(page->next);
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -42,8 +42,10 @@
     ~StoreClient();
 
     Result<StoreEntry> get(std::string_view key); // NotFound, StoreUnavailable, StoreBadValue
-    /// StoreUnavailable, StoreBadValue. Changes after the revision of the result may be missing in it.
-    Result<StoreListing> list(std::string_view prefix, ListFreshness freshness = ListFreshness::Latest);
+    /// StoreUnavailable, StoreBadValue. Changes after the revision of the result may be missing in it. When more than
+    /// one page is needed, `firstPage` gets the first before the others are read.
+    Result<StoreListing> list(std::string_view prefix, ListFreshness freshness = ListFreshness::Latest,
+                              const std::function<void(const StoreListing &)> &firstPage = {});
     /// Long poll: the changes to keys with the prefix after a revision. Waits up to `wait` for the first change; the
     /// token ends the wait with Cancelled. StoreHistoryGone when the store has discarded these changes; then call
     /// list() again.
--- a/tests/fakes/fake_platform_store.h
+++ b/tests/fakes/fake_platform_store.h
@@ -89,6 +89,11 @@
         m_staleItems = m_items;
         m_staleRevision = m_revision;
     }
+    void holdAfterFirstPage(bool hold) // connections of calls for later pages are closed meanwhile
+    {
+        LockGuard lock(m_mutex);
+        m_holdPages = hold;
+    }
     int latestRanges() const // calls for a range that may not be stale
     {
         LockGuard lock(m_mutex);
@@ -208,6 +213,9 @@
         }
         const std::string path = peer.read.substr(4, peer.read.find(' ', 4) - 4);
         if (path.starts_with("/-/kv-range")) {
+            if (m_holdPages && !valueOf(path, "after").empty()) {
+                return false;
+            }
             const bool mayBeStale = valueOf(path, "staleOk") == "1";
             m_latestRanges += mayBeStale ? 0 : 1;
             return reply(peer, "200 OK",
@@ -289,6 +297,7 @@
     std::map<std::string, Event> m_staleItems;
     uint64_t                     m_staleRevision = 0; // 0: no read is stale
     int                          m_latestRanges = 0;
+    bool                         m_holdPages = false;
     StoreBehaviour               m_behaviour = StoreBehaviour::Healthy;
     int                          m_calls = 0;
     bool                         m_stopped = false;
