follow: a node's freshness and the changes that it proves reach its followers together

Cause: found by reading. A node set the time at which the store had confirmed its data before it had logged the changes of that answer. A follower that asked in between, or while the first list was read page by page, was told that its own data was fresh as of now without the newest changes; with a first list that may be stale it would have served by what had left. Change: the time that followers see is set under the same lock as the log, in record() and recordList(). Data centres without followers are dropped by RelayChoice. The queue's part of ServiceTable moves to a file of its own, unchanged. Ruled out: asking followers to compare revisions (a node behind its follower may still prove that nothing newer exists). Test: news::a_node_that_no_seed_answers... now asks the node between two pages; fails before.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -358,7 +358,8 @@
     status.storeReachable = false;
 }
 
-/// Called when the store has answered, or a seed has reported that the store answered it.
+/// Called when the store has answered, or a seed has reported that the store answered it. Followers see the time only
+/// together with the changes that it proves, in record() and recordList().
 void Follower::State::markStoreReachable(TimePoint verified)
 {
     registry.storeRecovered(clock.now());
@@ -370,7 +371,6 @@
                  {{"awayMs", toMilliseconds(outage)}, {"revision", revision}, {"source", status.source}});
     }
     status.storeReachable = true;
-    status.verifiedAt = verifiedAt;
 }
 
 Follower::Follower(Clock &clock, Metrics &metrics, StoreClient &store, const FollowerOptions &options,
--- a/src/follow/follower_news.cpp
+++ b/src/follow/follower_news.cpp
@@ -150,6 +150,7 @@
         } else {
             log.record(differences, listed.revision, now);
         }
+        status.verifiedAt = verifiedAt;
     }
     if (knownRevision != 0 && hooks.newsAvailable) {
         hooks.newsAvailable();
--- a/src/follow/relay_choice.cpp
+++ b/src/follow/relay_choice.cpp
@@ -14,13 +14,29 @@
     if (request.endpoint.empty() || request.dataCentre.empty() || request.dataCentre == m_options.dataCentre) {
         return {};
     }
+    if (!m_groups.contains(request.dataCentre)) {
+        removeSilentGroups(now);
+    }
     Group &group = m_groups[request.dataCentre];
-    std::erase_if(group.followers, [&](const auto &it) { return now - it.second.askedAt > m_options.followerTimeout; });
+    removeSilent(group, now);
     group.followers[request.endpoint] = {request.linkBytesPerSecond, now};
     chooseRelay(group);
     return group.relay == request.endpoint ? std::string_view() : group.relay;
 }
 
+void RelayChoice::removeSilent(Group &group, TimePoint now) const
+{
+    std::erase_if(group.followers, [&](const auto &it) { return now - it.second.askedAt > m_options.followerTimeout; });
+}
+
+void RelayChoice::removeSilentGroups(TimePoint now)
+{
+    for (auto &[dataCentre, group] : m_groups) {
+        removeSilent(group, now);
+    }
+    std::erase_if(m_groups, [](const auto &it) { return it.second.followers.empty(); });
+}
+
 void RelayChoice::chooseRelay(Group &group) const
 {
     const auto fastest =
--- a/src/follow/relay_choice.h
+++ b/src/follow/relay_choice.h
@@ -43,6 +43,8 @@
         std::string                                  relay;     // endpoint; empty: none
     };
 
+    void removeSilent(Group &group, TimePoint now) const;
+    void removeSilentGroups(TimePoint now);
     void chooseRelay(Group &group) const;
 
     RelayOptions                              m_options;
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -35,6 +35,7 @@
 constexpr double MaxBackoffShareOfBound = 1;
 constexpr double RetentionShareOfBound = 2.5; // of changes for followers; well above the age of any news
 constexpr double BytesPerMegabit = 125000;
+constexpr Duration TrustedReportAge = std::chrono::milliseconds(100);
 
 constexpr auto Specs = std::to_array<SettingSpec>({
     {"instance", "name", SettingType::Text, "node", "Name of this instance, unique in the system."},
@@ -249,7 +250,7 @@
     out.retryRatio = settings.fraction("route", "retry-ratio");
     out.retryWindow = settings.interval("route", "retry-window");
     out.queueWait = settings.interval("route", "queue-wait");
-    out.balancer.trustedReportAge = std::chrono::milliseconds(100);
+    out.balancer.trustedReportAge = TrustedReportAge;
     out.balancer.queueShare = settings.fraction("route", "queue-share");
     out.queueLimit = countOf(settings, "route", "queue");
     out.store.connectTimeout = settings.interval("store", "connect-timeout");
--- a/src/route/balancer.h
+++ b/src/route/balancer.h
@@ -127,12 +127,11 @@
     size_t      traceCapacity = 4096;                              // decisions kept for `damaskctl why`
     Duration    queuePollInterval = std::chrono::milliseconds(2);  // between re-evaluations, because estimates age
     Duration    slowdownHalfLife = std::chrono::milliseconds(250); // of a reported slowdown
-    Duration    trustedReportAge{
-        0};               // with a report this young, a lack of own calls in flight is no reason to send blindly
-    double   queueShare = 1; // share of a call's latency objective that it may spend queued
-    Duration otherDataCentreCost{0}; // time that a target there must save to be chosen; added to its link delay
-    Duration otherRegionCost{0};     // the same for a target in another region
-    Duration costPerMegabyte{0};     // of request body, added to both: large bodies are worth more waiting nearby
+    Duration    trustedReportAge{0};    // with a report this young, targets that are not known to have room get no call
+    double      queueShare = 1;         // share of a call's latency objective that it may spend queued
+    Duration    otherDataCentreCost{0}; // time that a target there must save to be chosen; added to its link delay
+    Duration    otherRegionCost{0};     // the same for a target in another region
+    Duration    costPerMegabyte{0};     // of request body, added to both: large bodies are worth more waiting nearby
 };
 
 /// A target was ejected because of failures, or reinstated.
--- /dev/null
+++ b/src/route/service_queue.cpp
@@ -0,0 +1,126 @@
+// Admission and the queue of a service: which calls wait for a slot, which are refused and who goes first.
+#include "route/service_table.h"
+
+#include <algorithm>
+
+namespace damask {
+
+/// Whether the caller's first attempt was so long ago that no answer can be within the objective.
+bool ServiceTable::isLate(const AcquireRequest &request) const
+{
+    const auto it = m_deadlines.find(request.rank);
+    return it != m_deadlines.end() && request.objective > Duration(0) && request.callerTimeLeft > Duration(0)
+           && it->second.minAge(request.callerTimeLeft) >= request.objective;
+}
+
+Code ServiceTable::arrive(const AcquireRequest &request, TimePoint now)
+{
+    const bool known = m_deadlines.contains(request.rank) || m_deadlines.size() < MaxRanks;
+    if (known && request.callerTimeLeft > Duration(0) && !m_shortage.active(now)) {
+        m_deadlines[request.rank].record(request.callerTimeLeft);
+    }
+    const Code code = admit(request, now);
+    const bool makesWay = code == Code::Ok && m_shortage.holdsBack(request.rank, now) && isLate(request);
+    return makesWay ? Code::ObjectiveMissed : code;
+}
+
+Code ServiceTable::admit(const AcquireRequest &request, TimePoint now) const
+{
+    if (m_retired) {
+        return Code::NoSuchService;
+    }
+    if (request.deadline == Never) {
+        return Code::Ok;
+    }
+    const Duration left = request.deadline - now;
+    return left <= Duration(0) || left < m_expected.lowQuantile(now) ? Code::DeadlineTooShort : Code::Ok;
+}
+
+/// The longest time that a call may be queued. Bounded by a share of its latency objective: after that the answer would
+/// be too late anyway, and an early refusal lets the caller try elsewhere.
+Duration ServiceTable::queueWait(const AcquireRequest &request) const
+{
+    if (request.objective <= Duration(0)) {
+        return m_service.queueWait;
+    }
+    return std::min(m_service.queueWait,
+                    std::chrono::duration_cast<Duration>(request.objective * m_options.queueShare));
+}
+
+Code ServiceTable::wait(const AcquireRequest &request, uint64_t id, GrantHook granted, TimePoint now,
+                        std::vector<ResolvedWait> &resolved)
+{
+    Waiter waiter;
+    waiter.id = id;
+    waiter.caller = CallerShares::bucket(request.caller);
+    waiter.dataCentres.assign(request.dataCentres.begin(), request.dataCentres.end());
+    waiter.avoid = request.avoid;
+    waiter.deadline = request.deadline;
+    waiter.arrivedAt = now;
+    waiter.idempotent = request.idempotent;
+    waiter.bodyBytes = request.bodyBytes;
+    waiter.rank = request.rank;
+    waiter.objective = request.objective;
+    waiter.callerTimeLeft = request.callerTimeLeft;
+    waiter.late = isLate(request);
+    waiter.granted = std::move(granted);
+    waiter.expiresAt = now + queueWait(request);
+    const TimePoint latest = request.deadline == Never ? Never : request.deadline - m_expected.lowQuantile(now);
+    if (latest < waiter.expiresAt) {
+        waiter.expiresAt = latest;
+        waiter.expiryCode = Code::DeadlineTooShort;
+    }
+    const bool late = waiter.late;
+    const Code code = m_queue.add(std::move(waiter), resolved);
+    if (code != Code::Ok && !late) {
+        m_shortage.record(request.rank, request.objective, now);
+    }
+    return code;
+}
+
+void ServiceTable::cancel(uint64_t id, std::vector<ResolvedWait> &resolved)
+{
+    const int position = m_queue.positionOf(id);
+    if (position >= 0) {
+        Waiter waiter = m_queue.take(static_cast<size_t>(position));
+        resolved.push_back({std::move(waiter.granted), fail(Code::Cancelled)});
+    }
+}
+
+TimePoint ServiceTable::processQueue(TimePoint now, std::vector<ResolvedWait> &resolved)
+{
+    m_queue.refuseExpired(now, resolved, [&](const Waiter &it) {
+        if (!it.late) {
+            m_shortage.record(it.rank, it.objective, now);
+        }
+    });
+    while (!m_queue.empty() && grantOne(now, resolved)) { }
+    m_replacementCredit = 0;
+    return m_queue.empty() ? Never : std::min(m_queue.earliestExpiry(), now + m_options.queuePollInterval);
+}
+
+bool ServiceTable::grantOne(TimePoint now, std::vector<ResolvedWait> &resolved)
+{
+    for (const size_t position : m_queue.grantOrder(m_shares)) {
+        const Waiter &waiter = m_queue.at(position);
+        const Duration waited = now - waiter.arrivedAt;
+        const Choice choice = choose(waiter.request(), now, waited);
+        if (choice.target == nullptr && choice.code == Code::Ok) {
+            if (waiter.restricted()) {
+                continue;
+            }
+            return false;
+        }
+        Waiter taken = m_queue.take(position);
+        if (choice.target == nullptr) {
+            resolved.push_back({std::move(taken.granted), fail(choice.code)});
+        } else {
+            Permit permit = grant(*choice.target, taken.request(), taken.caller, now, waited);
+            resolved.push_back({std::move(taken.granted), std::move(permit)});
+        }
+        return true;
+    }
+    return false;
+}
+
+} // namespace damask
--- a/tests/platform/test_news.cpp
+++ b/tests/platform/test_news.cpp
@@ -326,6 +326,9 @@
     it.late.follower->start();
     cr_assert(eventually([&] { return it.late.service() == "s2" && it.late.targets() == 1; }), "the first page");
     cr_assert(it.late.follower->status().revision == 0, "the other pages are due");
+    const FollowRequest request{.revision = 3, .follows = true};
+    cr_assert(it.late.follower->news(request, DefaultMaxBytes).age >= 1h, "it proves nothing to followers yet");
     it.late.fake.holdAfterFirstPage(false);
     cr_assert(eventually([&] { return it.late.targets() == 4; }));
+    cr_assert(it.late.follower->news(request, DefaultMaxBytes).age < 10s);
 }
