follow: a relay that was dropped no longer ends the node that followed it

The line for a change of source looked up the address of the source before by its index; a relay that had fallen silent was dropped by then, so the index was out of range and the exception ended the process. Change: the follower keeps the address itself; a relay that takes the place of another is also logged as a change. Ruled out: other uses of the index (the requests carry the address since the relays came). Test: news::a_follower_survives_its_relay crashes before and passes after.

--- a/src/follow/follower_news.cpp
+++ b/src/follow/follower_news.cpp
@@ -46,11 +46,13 @@
 
 void Follower::State::chooseSource(TimePoint now)
 {
-    const auto before = std::exchange(source, sources.source(now, reachesStore));
-    if (source != before) {
+    source = sources.source(now, reachesStore);
+    // Compared by address: a relay that was dropped has no index, and another one may have taken it.
+    const std::string before = std::exchange(sourceAddress, source ? sources.address(*source) : std::string());
+    if (sourceAddress != before) {
         logEvent(Severity::Info, "source-changed",
-                 {{"before", before ? std::string_view(sources.address(*before)) : "store"},
-                  {"now", source ? std::string_view(sources.address(*source)) : "store"},
+                 {{"before", before.empty() ? std::string_view("store") : before},
+                  {"now", sourceAddress.empty() ? std::string_view("store") : sourceAddress},
                   {"knownAgeMs", verifiedAt == TimePoint() ? -1.0 : toMilliseconds(now - verifiedAt)},
                   {"revision", revision}});
         const std::string_view kind = !source ? "store" : sources.isRelay(*source) ? "relay" : "seed";
@@ -58,7 +60,7 @@
     }
     LockGuard lock(mutex);
     hops = sources.hops();
-    status.source = source ? sources.address(*source) : std::string();
+    status.source = sourceAddress;
 }
 
 void Follower::State::sendDueRequests()
--- a/src/follow/follower_state.h
+++ b/src/follow/follower_state.h
@@ -64,6 +64,7 @@
     uint64_t              publishedRevision = 0; // revision of the last configuration passed to apply
     SourceChoice          sources;
     std::optional<size_t> source;                 // the followed seed; none: the store
+    std::string           sourceAddress;          // of the followed seed or relay; empty: the store
     bool                  changesMissing = false; // changes are missing that only the store has
     bool                  reachesStore = false;   // the last own call to the store succeeded
     TimePoint             nextCallAt{};           // earliest time of the next call to the store
--- a/tests/platform/test_news.cpp
+++ b/tests/platform/test_news.cpp
@@ -120,8 +120,13 @@
             return;
         }
         for (const SeedRequest &it : asks) {
+            if (it.address == "relay" && !relayAnswers) {
+                continue;
+            }
             knownRevision = it.request.revision;
-            other.follower->receive(seed.follower->news(it.request, maxBytes));
+            StoreNews news = seed.follower->news(it.request, maxBytes);
+            news.relay = namesRelay ? "relay" : "";
+            other.follower->receive(std::move(news));
         }
     }
     void pushUpdate()
@@ -132,6 +137,8 @@
     }
 
     std::atomic<bool> disconnected{false};
+    std::atomic<bool> namesRelay{false}; // the seed names one, which passes on what the seed has
+    std::atomic<bool> relayAnswers{true};
     std::atomic<size_t> maxBytes{DefaultMaxBytes};
     std::atomic<uint64_t> knownRevision{0};
     Node seed;
@@ -166,6 +173,20 @@
     cr_assert(eventually([&] { return it.other.follower->status().source == "seed"; }));
 }
 
+Test(news, a_follower_survives_its_relay)
+{
+    SeedAndFollower it;
+    it.namesRelay = true;
+    cr_assert(eventually([&] { return it.other.follower->status().source == "relay"; }));
+    it.put("servers/i-2", worker("ready", 1));
+    cr_assert(eventually([&] { return it.other.targets() == 2; }));
+    it.namesRelay = false;
+    it.relayAnswers = false;
+    cr_assert(eventually([&] { return it.other.follower->status().source == "seed"; }));
+    it.put("op/config", configuration("0000000c", "s2"));
+    cr_assert(eventually([&] { return it.other.service() == "s2"; }));
+}
+
 Test(news, a_follower_leaves_a_seed_that_lost_the_store)
 {
     SeedAndFollower it;
