platform: a rule without a usable action allows one attempt, the most cautious number

No request was affected, as such a rule is refused (RuleUnusable). Ruled out: other members of such a rule, which are read before the action or keep their cautious value. Test: decode::a_rule_with_an_odd_kind_or_destination... checks the number; fails before.

--- a/tests/platform/test_decode.cpp
+++ b/tests/platform/test_decode.cpp
@@ -88,6 +88,7 @@
         const Rule &odd = read->rules[0];
         cr_assert(odd.host == "a.example" && odd.prefix == "/p/", "it keeps its place");
         cr_assert(!odd.unusable.empty() && read->refused.back() == odd.unusable, "%s", std::string(to).c_str());
+        cr_assert(odd.maxAttempts >= 1, "%s: the most cautious value, not the default", std::string(to).c_str());
         cr_assert(read->rules[1].unusable.empty() && read->rules[1].service == "s2");
     }
 }
