--- a/review/common/system.py
+++ b/review/common/system.py
@@ -149,10 +149,10 @@
         self.file.flush()
 
 
-def configuration(version, routes, timeout_ms=None):
+def configuration(version, routes, attempts=2):
     """One version of op/config. routes: {service: (kind, prefix, timeout in ms, objective in ms)}."""
     rules = [{"name": f"r-{name}", "kind": kind, "targetLatencyMs": objective, "priority": n,
-              "match": {"prefix": prefix}, "action": {"service": name, "timeoutMs": timeout, "maxAttempts": 2}}
+              "match": {"prefix": prefix}, "action": {"service": name, "timeoutMs": timeout, "maxAttempts": attempts}}
              for n, (name, (kind, prefix, timeout, objective)) in enumerate(routes.items())]
     return json.dumps({
         "version": f"{version:08x}",
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -27,6 +27,7 @@
         self.free = asyncio.Semaphore(slots)
         self.writers = set()
         self.spoil = lambda: False  # whether this answer is sent a second time, late
+        self.sheds = lambda: False  # whether this request is rejected though there is room
         self.runs = []              # (time, request id) of each request that it began to work on
         self.arrivals = []          # (time, request id) of each request that reached it
 
@@ -104,7 +105,7 @@
             return True
         self.arrivals.append((time.monotonic(), request))
         until = time.monotonic() + int(fields.get("x-deadline-ms", "10000")) / 1000
-        if not await self.take_slot():
+        if self.sheds() or not await self.take_slot():
             self.record.write(f"{self.name} sheds {request}")
             self.send(writer, connection, shed)
             return True
