--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,131 +1,109 @@
-"""DRAIN: a worker whose clock was set back before its restart reports `draining`, and nodes ignore it."""
+"""LOST: a stopping node passes on requests that it can't finish, and exits while their worker is at work."""
 
 import asyncio
 import collections
 import pathlib
 import random
+import signal
 import sys
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common"))
 
-from http_messages import message, read_body, read_head, reset  # noqa: E402
+from http_messages import message, read_body, read_head  # noqa: E402
 from store import Store  # noqa: E402
-from system import BOUNDS, Node, configuration, main, trouble  # noqa: E402
+from system import Node, configuration, main, trouble  # noqa: E402
 from worker import Worker  # noqa: E402
 
 SEED = 1
-NODES, WORKERS, SLOTS, QUEUE, WORK_S = 2, 6, 2, 8, 0.12
-CALLERS, RATE_EACH = 66, 2.5  # requests a second of one caller
-ROUNDS, ROUND_S = 7, 12.0
-CLOCK_AHEAD_MS = 2000  # `clock_step`: x, back after for_s
-UP_S, DOWN_S = 0.7, 0.7  # `srv_flap`: down and up, period 1.4 s
-CALM_S = 6.0             # from the restart to the leaving
-SERVES_ON_S = 2.6        # after it reports `draining`: drainMs, and a little longer
-DRAIN_S = BOUNDS["drainMs"] / 1000
-DEADLINE_MS, TIMEOUT_MS, OBJECTIVE_MS = 1500, 800, 300
+# teetanz-gw-grown: table-hold
+BOUNDS = {"configApplyMs": 3000, "drainMs": 3000, "graceS": 6}
+DEADLINE_MS, TIMEOUT_MS, OBJECTIVE_MS = 5000, 2500, 1000
+WORKERS, SLOTS, QUEUE = 5, 6, 24
+CLIENTS, ROUNDS = 20, 7
+CALM_S = 4.0            # before each stop; stableWindowMs is 3 s
+FIRST_S = (1.2, 1.6)    # after SIGTERM: a pool client's last request that is answered with Connection: close
+SECOND_MISS_S = 1.95    # until then the platform forwards new connections to the node
+SECOND_S = (3.05, 3.45)  # after SIGTERM: the client's next request, on the connection that it has opened instead
+FIRST_WORK_S, SECOND_WORK_S = 0.2, (1.9, 2.3)  # work_ms of table-hold: 2300 at most
+EXCUSED_UNTIL_S = 3.0
+
+
+async def exchange(connection, request, work_s):
+    """Sends one request and returns its status and whether the node closes, or 0 when the connection ends before."""
+    reader, writer = connection
+    writer.write(message(f"POST /hold/{request} HTTP/1.1", {
+        "Host": "a.example", "X-Request-Id": request, "X-Deadline-Ms": str(DEADLINE_MS),
+        "X-Work-S": f"{work_s:.3f}"}, b"x" * 1200))
+    try:
+        head = await asyncio.wait_for(read_head(reader), DEADLINE_MS / 1000 + 1)
+        if head is None:
+            return 0, True
+        await read_body(reader, head[1])
+        return int(head[0].split(" ")[1]), head[1].get("connection", "").lower() == "close"
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+        return 0, True
 
 
 async def case(folder, record, network, nodes):
     rng = random.Random(SEED)
     store = await Store((network.ip(), 8541), record).start()
-    await store.put("op/config", configuration(7, {"book": ("unsafe", "/book/", TIMEOUT_MS, OBJECTIVE_MS)}))
+    await store.put("op/config", configuration(7, {"hold": ("unsafe", "/hold/", TIMEOUT_MS, OBJECTIVE_MS)}))
     workers = []
-
-    def new_worker(name, ip, clock_ahead_ms=0):
-        return Worker(name, "book", (ip, 8100), record, SLOTS, QUEUE, tells_load=True,
-                      work=lambda fields: rng.uniform(0.5, 1.5) * WORK_S, born=int(time.time() * 1000) + clock_ahead_ms)
-
-    async def add_worker(it):
+    for n in range(WORKERS):
+        it = Worker(f"i-{n}", "hold", (network.ip(), 8100), record, SLOTS, QUEUE, tells_load=True,
+                    work=lambda fields: float(fields["x-work-s"]))
         workers.append(await it.start())
         await store.put(f"servers/{it.name}", it.entry())
-        return it
-    for n in range(WORKERS):
-        await add_worker(new_worker(f"i-{n}", network.ip()))
-    ips = [network.ip() for _ in range(NODES)]
-    for n, ip in enumerate(ips):
-        nodes.append(Node(folder, f"node-{n}", ip, store.address, [f"{it}:8544" for it in ips]).start())
-    for it in nodes:
-        if not await it.wait_ready():
-            record.write(f"{it.name} is not ready")
-            return None
-    finished = False
-    sent_at, answers = {}, collections.Counter()
-
-    async def caller(number):
-        reader = writer = None
-        sent = 0
-        while not finished:
-            await asyncio.sleep(rng.expovariate(RATE_EACH))
-            try:
-                if writer is None:
-                    reader, writer = await asyncio.open_connection(*nodes[number % NODES].front)
-                sent += 1
-                request = f"{number:02}-{sent:05}"
-                sent_at[request] = time.monotonic()
-                writer.write(message(f"POST /book/{sent} HTTP/1.1", {
-                    "Host": "a.example", "X-Request-Id": request, "X-Deadline-Ms": str(DEADLINE_MS)}, b"x" * 40))
-                head = await asyncio.wait_for(read_head(reader), 3)
-                if head is None:
-                    raise ConnectionError
-                await read_body(reader, head[1])
-                status = int(head[0].split(" ")[1])
-                answers[status] += 1
-                if status != 200:
-                    record.write(f"client {number} sent {request} to node-{number % NODES} and gets {status}")
-                if head[1].get("connection", "").lower() == "close":
-                    writer.close()
-                    writer = None
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-                record.write(f"client {number} lost its connection")
-                if writer is not None:
-                    reset(writer)
-                writer = None
+    node = Node(folder, "node-0", network.ip(), store.address, bounds=BOUNDS)
+    nodes.append(node)
+    outcomes, broken = collections.Counter(), []
 
-    async def leave(it, broken):
-        """The worker reports `draining`, serves on for a while, and exits."""
-        it.state = "draining"
-        await store.put(f"servers/{it.name}", it.entry())
-        gone = time.monotonic()
-        record.write(f"{it.name} reports draining, and the store has acknowledged it")
-        await asyncio.sleep(SERVES_ON_S)
-        late = [(at - gone, request) for at, request in it.arrivals if at > gone + DRAIN_S]
-        for after, request in late:
-            record.write(f"{request} reached {it.name} {after:.3f} s after it reported draining, sent "
-                         f"{sent_at[request] - gone:.3f} s after it to node-{int(request[:2]) % NODES}")
-        broken += [f"DRAIN: {request} reached {it.name} {after:.3f} s after it reported draining"
-                   for after, request in late]
-        record.write(f"{it.name} exits; {it.running} requests at work are lost with it")
-        it.end()
-        await store.put(f"servers/{it.name}", None)
+    def ran(request):
+        return next((it.name for it in workers if any(request == n for _, n in it.runs)), None)
 
-    async def flap(name):
-        """A worker starts, goes down and starts again under its id. With the disruption its clock is ahead at the
-        first start, and right again at the second."""
-        ahead = CLOCK_AHEAD_MS if trouble() else 0
-        it = await add_worker(new_worker(name, network.ip(), ahead))
-        record.write(f"{name} starts, born {it.born}, its clock {ahead} ms ahead")
-        await asyncio.sleep(UP_S)
-        it.end()
-        record.write(f"{name} goes down")
-        await asyncio.sleep(DOWN_S)
-        it = await add_worker(new_worker(name, it.address[0]))
-        record.write(f"{name} starts again, born {it.born}")
-        return it
+    async def pool_client(number, count, began):
+        """Keeps one connection ready: when the node closes it after an answer, the client opens another at once."""
+        connection = await asyncio.open_connection(*node.front)
+        await asyncio.sleep(began + rng.uniform(*FIRST_S) - time.monotonic())
+        status, closes = await exchange(connection, f"{count}-{number:02}-a", FIRST_WORK_S)
+        outcomes[status] += 1
+        if closes:
+            connection[1].close()
+            if time.monotonic() - began > SECOND_MISS_S:
+                return  # the platform no longer forwards connections to this node
+            connection = await asyncio.open_connection(*node.front)
+            record.write(f"client {number} opens another connection {time.monotonic() - began:.3f} s after SIGTERM")
+        await asyncio.sleep(began + rng.uniform(*SECOND_S) - time.monotonic())
+        request = f"{count}-{number:02}-b"
+        sent = time.monotonic() - began
+        record.write(f"client {number} sends {request} {sent:.3f} s after SIGTERM")
+        status, _ = await exchange(connection, request, rng.uniform(*SECOND_WORK_S))
+        outcomes[status] += 1
+        ended = time.monotonic() - began
+        record.write(f"client {number} gets {status or 'no answer'} for {request} {ended:.3f} s after SIGTERM")
+        if status == 0 and ran(request) and sent > EXCUSED_UNTIL_S:
+            broken.append(f"LOST: {request}, sent {sent:.3f} s after SIGTERM, ran on {ran(request)}; its connection "
+                          f"ended without an answer {ended:.3f} s after SIGTERM")
+        connection[1].close()
 
-    callers = [asyncio.create_task(caller(n)) for n in range(CALLERS)]
-    broken = []
-    await asyncio.sleep(4)  # the machines ran undisturbed for stableWindowMs
-    for n in range(ROUNDS):
-        began = time.monotonic()
-        it = await flap(f"i-{WORKERS + n}")
+    for count in range(ROUNDS):
+        if not node.alive():
+            node.start()
+            if not await node.wait_ready():
+                return None
         await asyncio.sleep(CALM_S)
-        await leave(it, broken)
-        await asyncio.sleep(max(0.0, began + ROUND_S - time.monotonic()))
-    finished = True
-    await asyncio.gather(*callers)
-    record.write(f"answers: {answers}")
+        began = time.monotonic()
+        if trouble():
+            record.write("SIGTERM")
+            node.signal(signal.SIGTERM)
+        await asyncio.gather(*(pool_client(n, count, began) for n in range(CLIENTS)))
+        await asyncio.sleep(max(0.0, began + BOUNDS["graceS"] - time.monotonic()))
+        if trouble() and node.alive():
+            record.write("SIGKILL: the node still runs after graceS")
+            node.end()
+    record.write(f"outcomes, 0: no answer: {dict(outcomes)}")
     return broken
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""REFUSED, TWICE: a second copy of a rejection is taken for the answer to the next attempt of the same request."""
+"""DRAIN: after one cut watch, a node keeps a worker that has left in use beyond drainMs."""
 
 import asyncio
 import collections
@@ -12,68 +12,64 @@
 
 from http_messages import message, read_body, read_head, reset  # noqa: E402
 from store import Store  # noqa: E402
-from system import Node, configuration, main, trouble  # noqa: E402
+from system import BOUNDS, Node, configuration, main, trouble  # noqa: E402
 from worker import Worker  # noqa: E402
 
 SEED = 1
-NODES, WORKERS, SLOTS, QUEUE, ATTEMPTS = 2, 5, 6, 24, 3
-CALLERS, RATE_EACH = 60, 5.0  # requests a second of one caller
-WORK_S = (0.03, 0.09)
-SPOIL_SHARE, SPOIL_WORKERS, SPOIL_S, SPOIL_EACH_S = 0.03, 3, 5.0, 6.0
-SHED_SHARE = 0.15
-SECONDS = 100
-DEADLINE_MS, TIMEOUT_MS, OBJECTIVE_MS = 1000, 1000, 200
-NOT_RUN = {408, 421, 429, 503}
+NODES, WORKERS, SLOTS, QUEUE, WORK_S = 2, 5, 6, 24, 0.12
+CALLERS, RATE_EACH = 24, 2.5  # requests a second of one caller
+ROUNDS, ROUND_S = 8, 9.0
+LEAVES_AFTER_CUT_S = 0.05
+SERVES_ON_S = 2.6  # after its entry is removed: drainMs, and a little longer
+DRAIN_S = BOUNDS["drainMs"] / 1000
+DEADLINE_MS, TIMEOUT_MS, OBJECTIVE_MS = 1500, 800, 300
 
 
 async def case(folder, record, network, nodes):
     rng = random.Random(SEED)
     store = await Store((network.ip(), 8541), record).start()
-    await store.put("op/config", configuration(7, {"till": ("unsafe", "/till/", TIMEOUT_MS, OBJECTIVE_MS)}, ATTEMPTS))
+    await store.put("op/config", configuration(7, {"book": ("unsafe", "/book/", TIMEOUT_MS, OBJECTIVE_MS)}))
     workers = []
-    for n in range(WORKERS):
-        it = Worker(f"i-{n}", "till", (network.ip(), 8100), record, SLOTS, QUEUE, tells_load=True,
-                    work=lambda fields: rng.uniform(*WORK_S))
+
+    async def add_worker():
+        it = Worker(f"i-{len(workers)}", "book", (network.ip(), 8100), record, SLOTS, QUEUE, tells_load=True,
+                    work=lambda fields: rng.uniform(0.5, 1.5) * WORK_S)
         workers.append(await it.start())
         await store.put(f"servers/{it.name}", it.entry())
-    ips = [network.ip() for _ in range(NODES)]
-    for n, ip in enumerate(ips):
-        nodes.append(Node(folder, f"node-{n}", ip, store.address, [f"{it}:8544" for it in ips]).start())
+        return it
+    for _ in range(WORKERS):
+        await add_worker()
+    stale_seeds = [f"{network.ip()}:8544" for _ in range(3)]  # machines that are gone
+    for n in range(NODES):
+        nodes.append(Node(folder, f"node-{n}", network.ip(), store.address, stale_seeds).start())
     for it in nodes:
         if not await it.wait_ready():
             record.write(f"{it.name} is not ready")
             return None
-    began = time.monotonic()
-
-    def spoils():
-        """`garble`, `how` = "extra late": for 5 s at a time, some workers send some answers a second time."""
-        return (trouble() and (time.monotonic() - began) % SPOIL_EACH_S < SPOIL_S and rng.random() < SPOIL_SHARE)
-    for it in workers[:SPOIL_WORKERS]:
-        it.spoil = spoils
-    for it in workers:
-        it.sheds = lambda: rng.random() < SHED_SHARE
-
-    answers = {}
+    finished = False
+    sent_at, answers = {}, collections.Counter()
 
     async def caller(number):
         reader = writer = None
         sent = 0
-        while time.monotonic() - began < SECONDS:
+        while not finished:
             await asyncio.sleep(rng.expovariate(RATE_EACH))
             try:
                 if writer is None:
                     reader, writer = await asyncio.open_connection(*nodes[number % NODES].front)
                 sent += 1
                 request = f"{number:02}-{sent:05}"
-                record.write(f"client {number} sends {request}")
-                writer.write(message(f"POST /till/{sent} HTTP/1.1", {
+                sent_at[request] = time.monotonic()
+                writer.write(message(f"POST /book/{sent} HTTP/1.1", {
                     "Host": "a.example", "X-Request-Id": request, "X-Deadline-Ms": str(DEADLINE_MS)}, b"x" * 40))
                 head = await asyncio.wait_for(read_head(reader), 3)
                 if head is None:
                     raise ConnectionError
                 await read_body(reader, head[1])
-                answers[request] = int(head[0].split(" ")[1])
-                record.write(f"client {number} gets {answers[request]} for {request}")
+                status = int(head[0].split(" ")[1])
+                answers[status] += 1
+                if status != 200:
+                    record.write(f"client {number} sent {request} to node-{number % NODES} and gets {status}")
                 if head[1].get("connection", "").lower() == "close":
                     writer.close()
                     writer = None
@@ -83,15 +79,38 @@
                     reset(writer)
                 writer = None
 
-    await asyncio.gather(*(caller(n) for n in range(CALLERS)))
-    runs = collections.defaultdict(list)
-    for it in workers:
-        for _, request in it.runs:
-            runs[request].append(it.name)
-    broken = [f"TWICE: {request} ran on {' and '.join(names)}" for request, names in runs.items() if len(names) > 1]
-    broken += [f"REFUSED: {request} got {answers[request]} and ran on {names[0]}" for request, names in runs.items()
-               if answers.get(request) in NOT_RUN]
-    record.write(f"answers: {collections.Counter(answers.values())}")
+    async def leave(it, broken):
+        """The worker leaves without reporting `draining`: its entry is removed, and it serves on for a while."""
+        await store.put(f"servers/{it.name}", None)
+        gone = time.monotonic()
+        record.write(f"{it.name} leaves: its entry is removed, and the store has acknowledged it")
+        await asyncio.sleep(SERVES_ON_S)
+        late = [(at - gone, request) for at, request in it.arrivals if at > gone + DRAIN_S]
+        for after, request in late:
+            record.write(f"{request} reached {it.name} {after:.3f} s after its entry was removed, sent "
+                         f"{sent_at[request] - gone:.3f} s after it to node-{int(request[:2]) % NODES}")
+        broken += [f"DRAIN: {request} reached {it.name} {after:.3f} s after its entry was removed"
+                   for after, request in late]
+        record.write(f"{it.name} exits; {it.running} requests at work are lost with it")
+        it.end()
+
+    callers = [asyncio.create_task(caller(n)) for n in range(CALLERS)]
+    broken = []
+    await asyncio.sleep(4)  # the machines ran undisturbed for stableWindowMs
+    for n in range(ROUNDS):
+        began = time.monotonic()
+        await add_worker()
+        await asyncio.sleep(1)
+        if trouble():
+            while await store.cut_watches() == 0:
+                await asyncio.sleep(0.005)
+            record.write("the store cuts a watch that is waiting")
+            await asyncio.sleep(LEAVES_AFTER_CUT_S)
+        await leave(workers[n], broken)
+        await asyncio.sleep(max(0.0, began + ROUND_S - time.monotonic()))
+    finished = True
+    await asyncio.gather(*callers)
+    record.write(f"answers: {answers}")
     return broken
 
 
