--- a/review/common/system.py
+++ b/review/common/system.py
@@ -13,7 +13,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BOUNDS = {"configApplyMs": 2000, "drainMs": 2000, "graceS": 6, "retryBudgetRatio": 0.2, "retryWindowS": 10}
@@ -83,7 +82,8 @@
     """One process of the deploy file's role."""
 
     def __init__(self, folder, name, ip, store_address, seeds=None, bounds=None):
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["node"]
+        text = (ROOT / "deploy/system.toml").read_text()
+        run, template = (re.search(rf'^{it} = "(.*)"$', text, re.M)[1] for it in ("run", "template"))
         self.name, self.ip = name, ip
         self.front, self.ready, self.control = (ip, 8548), (ip, 8542), f"{ip}:8544"
         self.seeds = seeds if seeds is not None else [self.control]
@@ -92,8 +92,8 @@
                    "platform": {"address": "%s:%d" % store_address},
                    "listen": {"front": f"{ip}:8548", "ready": f"{ip}:8542", "control": self.control}}
         settings = pathlib.Path(folder) / f"{name}.settings"
-        settings.write_text(render((ROOT / deploy["template"]).read_text(), context))
-        self.command = [it.replace("/etc/damaskflow/boot.json", str(settings)) for it in deploy["run"].split()]
+        settings.write_text(render((ROOT / template).read_text(), context))
+        self.command = [it.replace("/etc/damaskflow/boot.json", str(settings)) for it in run.split()]
         self.log = pathlib.Path(folder) / f"{name}.log"
         self.process = None
 
