Make review case 2 fail more often

Cause: with rejections all the time the nodes' retry budget left few requests a third attempt, and single runs of the case came down to one request.

What it does: the workers reject requests for 2 of 10 seconds, within the time in which answers are repeated.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,8 +19,9 @@
 NODES, WORKERS, SLOTS, QUEUE, ATTEMPTS = 4, 5, 6, 24, 3
 CALLERS, RATE_EACH = 88, 5.0  # requests a second of one caller
 WORK_S = (0.03, 0.09)
-SPOIL_SHARE, SPOIL_WORKERS, SPOIL_S, SPOIL_EACH_S = 0.03, 3, 5.0, 5.5
-SHED_SHARE = 0.15
+SPOIL_SHARE, SPOIL_WORKERS, SPOIL_S = 0.03, 3, 5.0
+SHED_SHARE, SHED_AFTER_S, SHED_S = 0.55, 1.5, 2.0
+EACH_S = 10.0  # a round: SPOIL_S from its start, and in it SHED_S from SHED_AFTER_S on
 SECONDS = 100
 DEADLINE_MS, TIMEOUT_MS, OBJECTIVE_MS = 1000, 1000, 200
 NOT_RUN = {408, 421, 429, 503}
@@ -47,11 +48,15 @@
 
     def spoils():
         """`garble`, `how` = "extra late": for 5 s at a time, some workers send some answers a second time."""
-        return (trouble() and (time.monotonic() - began) % SPOIL_EACH_S < SPOIL_S and rng.random() < SPOIL_SHARE)
+        return (trouble() and (time.monotonic() - began) % EACH_S < SPOIL_S and rng.random() < SPOIL_SHARE)
+
+    def sheds():
+        """`srv_grey`, `how` = "shed all": all workers reject part of the requests."""
+        return 0 <= (time.monotonic() - began) % EACH_S - SHED_AFTER_S < SHED_S and rng.random() < SHED_SHARE
     for it in workers[:SPOIL_WORKERS]:
         it.spoil = spoils
     for it in workers:
-        it.sheds = lambda: rng.random() < SHED_SHARE
+        it.sheds = sheds
 
     answers = {}
 
