--- a/tests/platform/test_upload.cpp
+++ b/tests/platform/test_upload.cpp
@@ -227,6 +227,8 @@
         const bool refused = response == Refusal;
         cr_assert(got.status == (refused ? 503 : 504) || (!refused && got.status == 502), "%d", got.status);
         cr_assert(it.target.connections() == 1, "though other workers are free");
+        // The counter was written beyond its table, over that of another label.
+        cr_assert(it.metrics.counter("damask_retry_denials_total", {{"reason", "body-sent"}}).Value() == 1);
     }
 }
 
