Don't take one cut poll for an outage of the store

Cause: a poll may be cut while it waits. The follower took one cut for an outage, waited 0.5 to 1 of the bound, and the registry held what had been removed for another lapse-hold from the next answer on, without taking off the time that had passed.

Now the follower calls again at once, and only a second failure counts as an outage. Every hold, that of a mass removal too, ends at 0.9 of the bound from the last moment at which the entry was known. After a proven outage it counts from the last failed call; nodes that are no seeds call every 0.2 to 0.25 of the bound meanwhile, so that this is close to the end of the outage.

Tests that failed without the change: follow::a_poll_that_is_cut_is_no_outage, registry::no_hold_outlasts_the_bound_from_the_last_time_at_which_the_entry_was_known, registry::the_hold_of_a_mass_removal_keeps_to_the_same_bound. registry::an_outage_that_several_calls_have_proven_... keeps the hold after a true outage.

--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -172,6 +172,9 @@
     readEntries(listed->entries, targets);
     recordList(*listed, now);
     registry.replace(targets, listed->revision, now);
+    if (freshness == ListFreshness::Latest) {
+        registry.verified(now);
+    }
     changed = true;
     revision = listed->revision;
     listedRevision = revision;
@@ -207,6 +210,15 @@
 bool Follower::State::pollOnce()
 {
     auto changes = store.poll(options.watchedPrefix, revision, nextPollTimeout(), cancel);
+    if (!changes && changes.error().code == Code::StoreUnavailable && storeIsReachable()) {
+        // A waiting poll may be cut while the store is well. Only a second failure shows an outage.
+        logEvent(Severity::Info, "store-poll-cut", {{"detail", changes.error().detail}, {"revision", revision}});
+        const TimePoint failedAt = clock.now();
+        changes = store.poll(options.watchedPrefix, revision, Duration::zero(), cancel);
+        if (!changes) {
+            registry.storeLost(failedAt);
+        }
+    }
     if (!changes) {
         if (changes.error().code == Code::StoreHistoryGone) {
             logEvent(Severity::Warning, "store-history-gone", {{"revision", revision}});
@@ -222,6 +234,7 @@
     for (StoreChange &it : changes->changes) {
         applyChange(it);
     }
+    registry.verified(now);
     const bool advanced = changes->revision > revision;
     revision = std::max(revision, changes->revision);
     record(changes->changes, revision, now);
@@ -348,7 +361,7 @@
     if (error.code == Code::Cancelled) {
         return;
     }
-    registry.storeLost();
+    registry.storeLost(clock.now());
     reachesStore = false;
     LockGuard lock(mutex);
     if (status.storeReachable || status.verifiedAt == TimePoint()) {
--- a/src/follow/follower_news.cpp
+++ b/src/follow/follower_news.cpp
@@ -100,6 +100,9 @@
             applyChange(it);
         }
     }
+    if (verified && !news.more) {
+        registry.verified(*verified);
+    }
     const bool advanced = news.revision > revision;
     revision = std::max(revision, news.revision);
     changesMissing = changesMissing && news.more;
--- a/src/follow/registry.cpp
+++ b/src/follow/registry.cpp
@@ -9,6 +9,7 @@
 
 constexpr size_t MaxLastWrites = 4096;      // including those of removed targets
 constexpr size_t MassRemovalMinTargets = 3; // smaller services are never held for a mass removal
+constexpr int OutageFailures = 2;           // calls in a row without an answer that prove an outage
 
 } // namespace
 
@@ -67,6 +68,7 @@
     const auto [it, inserted] = m_entries.try_emplace(target.id, Entry{target});
     Entry &entry = it->second;
     const bool wasHeld = std::exchange(entry.heldUntil, Never) != Never;
+    entry.holdLimit = Never;
     RegisteredTarget before = std::exchange(entry.target, target);
     entry.massHeld = false;
     before.sequence = target.sequence;
@@ -104,6 +106,17 @@
     return m_storeEverLost ? std::max(now, m_storeRecoveredAt + m_options.lapseHold) : now;
 }
 
+/// The latest end of a hold that begins now. One failed call proves no outage, so the entry may have been removed right
+/// after the last answer. Several failures in a row prove one that lasted until the last of them.
+TimePoint Registry::holdLimit() const
+{
+    if (m_verifiedAt == TimePoint()) {
+        return Never;
+    }
+    const TimePoint known = m_verifiedAt + m_options.removalBound;
+    return m_failures < OutageFailures ? known : std::max(known, m_lastFailureAt + m_options.outageBound);
+}
+
 void Registry::remove(std::string_view id, uint64_t revision, TimePoint now)
 {
     const auto it = m_entries.find(id);
@@ -112,7 +125,8 @@
     }
     m_lastWrites[it->first].revision = revision;
     // A hold of zero length ends with the next expire(), so that removals that arrive together are judged together.
-    it->second.heldUntil = holdUntil(it->second, now);
+    it->second.holdLimit = std::max(holdLimit(), now);
+    it->second.heldUntil = std::min(holdUntil(it->second, now), it->second.holdLimit);
     if (it->second.heldUntil > now) {
         report(id, RegistryOutcome::Held, "removed during or shortly after a store outage");
     }
@@ -132,10 +146,18 @@
     }
 }
 
-void Registry::storeLost()
+void Registry::storeLost(TimePoint now)
 {
     m_storeLost = true;
     m_storeEverLost = true;
+    ++m_failures;
+    m_lastFailureAt = now;
+}
+
+void Registry::verified(TimePoint at)
+{
+    m_verifiedAt = std::max(m_verifiedAt, at);
+    m_failures = 0;
 }
 
 void Registry::storeRecovered(TimePoint now)
@@ -146,7 +168,7 @@
     m_storeRecoveredAt = now;
     for (auto &[id, it] : m_entries) {
         if (it.heldUntil != Never && !it.target.draining) {
-            it.heldUntil = std::max(it.heldUntil, now + m_options.lapseHold);
+            it.heldUntil = std::min(std::max(it.heldUntil, now + m_options.lapseHold), it.holdLimit);
         }
     }
 }
@@ -155,10 +177,10 @@
 {
     bool changed = false;
     for (auto &[id, it] : m_entries) {
-        const bool due = it.heldUntil <= now && !it.target.draining && !it.massHeld;
+        const bool due = it.heldUntil <= now && it.holdLimit > now && !it.target.draining && !it.massHeld;
         if (due && mostAreRemoved(it.target.service)) {
             it.massHeld = true;
-            it.heldUntil = now + m_options.massRemovalHold;
+            it.heldUntil = std::min(now + m_options.massRemovalHold, it.holdLimit);
             report(id, RegistryOutcome::Held, "most targets of its service were removed at once");
         }
     }
--- a/src/follow/registry.h
+++ b/src/follow/registry.h
@@ -1,7 +1,8 @@
 /// The targets that have registered themselves, as derived from their entries in the store.
 ///
 /// A removed entry removes its target, except around a store outage: entries that expired meanwhile are written again
-/// once their targets reach the store, so targets that were not draining are held for a short time.
+/// once their targets reach the store, so targets that were not draining are held for a short time. No hold lasts longer
+/// than removalBound after the entry was last known to exist, or than outageBound after the end of a proven outage.
 ///
 /// Pure: the caller passes the time. Not safe to share between threads.
 #pragma once
@@ -21,6 +22,8 @@
 struct RegistryOptions {
     Duration lapseHold = std::chrono::seconds(2);       // after an outage, for expired entries to be written again
     Duration massRemovalHold = std::chrono::seconds(1); // when most entries of a service go at once, without an outage
+    Duration removalBound = std::chrono::hours(1);      // from the last time at which a removed entry was known to exist
+    Duration outageBound = std::chrono::hours(1); // after a proven outage, from the last call that failed; for its expiries
 };
 
 /// The effect of one change to an entry.
@@ -46,8 +49,9 @@
     void put(const RegisteredTarget &target);
     void remove(std::string_view id, uint64_t revision, TimePoint now); // its entry was removed, or can't be decoded
     void replace(std::span<const RegisteredTarget> targets, uint64_t revision, TimePoint now); // after a full read
-    void storeLost();                   // calls to the store fail from now on
+    void storeLost(TimePoint now);      // a call to the store has failed
     void storeRecovered(TimePoint now); // the store answers again
+    void verified(TimePoint at);        // every change until then has been passed to put(), remove() or replace()
     bool expire(TimePoint now);         // ends due holds; true: a target was removed
     TimePoint nextExpiry() const;       // Never when nothing is held
 
@@ -57,6 +61,7 @@
     struct Entry {
         RegisteredTarget target;
         TimePoint        heldUntil = Never; // its entry was removed; Never: it exists
+        TimePoint        holdLimit = Never; // latest value of heldUntil once it was removed
         bool             massHeld = false;  // held because most of its service was removed
     };
     /// The last write under an id, which tells a delayed older write apart.
@@ -68,6 +73,7 @@
 
     bool      stale(const RegisteredTarget &target) const;
     TimePoint holdUntil(const Entry &entry, TimePoint now) const;
+    TimePoint holdLimit() const;
     bool      mostAreRemoved(std::string_view service) const;
     void      report(std::string_view id, RegistryOutcome outcome, std::string_view detail = {}) const;
 
@@ -78,6 +84,9 @@
     bool                                          m_storeLost = false;
     TimePoint                                     m_storeRecoveredAt{};
     bool                                          m_storeEverLost = false;
+    int                                           m_failures = 0; // calls to the store in a row
+    TimePoint                                     m_lastFailureAt{};
+    TimePoint                                     m_verifiedAt{};
 };
 
 } // namespace damask
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -19,6 +19,9 @@
 // Time before a mass removal of targets takes effect, as a share of the time for which a leaving target may get calls.
 constexpr double MassRemovalHoldShareOfDrain = 0.35;
 
+// Maximum age at which a removed target is still used, as a share of the same time; the rest is for calls on their way.
+constexpr double RemovalShareOfDrain = 0.9;
+
 // For updates from other nodes, as shares of the bound. A node's data is at most staleAfter old when the node polls the
 // store. The hold of a mass removal (MassRemovalHoldShareOfDrain) comes on top of this age. Up to three nodes pass an
 // update on, each of which adds a request interval to the age of its proof.
@@ -31,8 +34,8 @@
 constexpr double ScanIntervalShareOfBound = 5;       // between two requests to seeds other than the followed one
 constexpr double StaleAfterShareOfBound = 0.55;      // age of the data at which a node polls the store
 constexpr double SeedStaleAfterShareOfBound = 0.45;  // the same for a seed, to be up to date before followers poll
-constexpr double MinBackoffShareOfBound = 0.5;       // of a node that is no seed; seeds poll the store more often
-constexpr double MaxBackoffShareOfBound = 1;
+constexpr double MinBackoffShareOfBound = 0.2;       // of a node that is no seed; seeds poll the store more often
+constexpr double MaxBackoffShareOfBound = 0.25;      // targets that left during an outage are in use until its end is seen
 constexpr double RetentionShareOfBound = 2.5; // of changes for followers; well above the age of any news
 constexpr double BytesPerMegabit = 125000;
 constexpr Duration TrustedReportAge = std::chrono::milliseconds(100);
@@ -180,6 +183,8 @@
     out.systemStarts = settings.flag("instance", "first-start");
     out.seedPollTimeout = shareOf(bound, SeedPollTimeoutShareOfBound);
     out.followerBackoff = {shareOf(bound, MinBackoffShareOfBound), shareOf(bound, MaxBackoffShareOfBound)};
+    out.registry.removalBound = shareOf(settings.interval("bounds", "drain"), RemovalShareOfDrain);
+    out.registry.outageBound = out.registry.lapseHold + shareOf(bound, MaxBackoffShareOfBound);
     out.changeLog.retention = shareOf(bound, RetentionShareOfBound);
     out.sources.own = settings.text("nodes", "endpoint");
     if (!out.sources.own.empty()) {
--- a/tests/fakes/fake_platform_store.h
+++ b/tests/fakes/fake_platform_store.h
@@ -20,6 +20,7 @@
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace damask {
@@ -94,6 +95,16 @@
         LockGuard lock(m_mutex);
         m_holdPages = hold;
     }
+    void cutNextPoll() // closes the connection of the next long poll that waits
+    {
+        LockGuard lock(m_mutex);
+        m_cutNext = true;
+    }
+    bool pollCut() const // since cutNextPoll()
+    {
+        LockGuard lock(m_mutex);
+        return !m_cutNext;
+    }
     int latestRanges() const // calls for a range that may not be stale
     {
         LockGuard lock(m_mutex);
@@ -244,7 +255,7 @@
             }
         }
         if (events.empty() && m_clock.now() < peer.until) {
-            return true;
+            return !std::exchange(m_cutNext, false);
         }
         return reply(peer, "200 OK", "{\"events\":[" + events + "],\"asOf\":" + std::to_string(m_revision) + "}");
     }
@@ -298,6 +309,7 @@
     uint64_t                     m_staleRevision = 0; // 0: no read is stale
     int                          m_latestRanges = 0;
     bool                         m_holdPages = false;
+    bool                         m_cutNext = false;
     StoreBehaviour               m_behaviour = StoreBehaviour::Healthy;
     int                          m_calls = 0;
     bool                         m_stopped = false;
--- a/tests/follow/test_registry.cpp
+++ b/tests/follow/test_registry.cpp
@@ -24,8 +24,8 @@
 
 /// A registry that logs the outcome of each change.
 struct LoggedRegistry {
-    LoggedRegistry()
-        : registry({}, [this](std::string_view id, RegistryOutcome outcome, std::string_view) {
+    explicit LoggedRegistry(const RegistryOptions &options = {})
+        : registry(options, [this](std::string_view id, RegistryOutcome outcome, std::string_view) {
             log += std::string(id) + ":" + std::string(registryOutcomeName(outcome)) + " ";
         })
     {
@@ -90,7 +90,7 @@
     LoggedRegistry it;
     it.registry.put(target("a", 1));
     it.registry.put(target("b", 1));
-    it.registry.storeLost();
+    it.registry.storeLost(Start);
     it.registry.storeRecovered(Start);
     it.registry.remove("a", 5, Start);
     it.registry.remove("b", 6, Start);
@@ -108,7 +108,7 @@
     leaving.draining = true;
     it.registry.put(target("a", 1));
     it.registry.put(leaving);
-    it.registry.storeLost();
+    it.registry.storeLost(Start);
     it.registry.storeRecovered(Start);
     it.registry.remove("a", 5, Start);
     cr_assert(it.registry.expire(Start));
@@ -136,3 +136,46 @@
     it.registry.expire(Start);
     cr_assert(it.ids() == "a ");
 }
+
+// DRAIN: after one call without an answer, a target that had left was held beyond the time for which it may get calls.
+Test(registry, no_hold_outlasts_the_bound_from_the_last_time_at_which_the_entry_was_known)
+{
+    LoggedRegistry it({.lapseHold = 2s, .massRemovalHold = 1s, .removalBound = 2700ms, .outageBound = 2650ms});
+    it.registry.put(target("a", 1));
+    it.registry.verified(Start);
+    it.registry.storeLost(Start + 100ms);
+    it.registry.storeRecovered(Start + 1500ms);
+    it.registry.remove("a", 5, Start + 1500ms);
+    cr_assert(it.registry.nextExpiry() == Start + 2700ms, "it may have been removed right after Start");
+    cr_assert(it.registry.expire(Start + 2700ms) && it.ids().empty());
+}
+
+Test(registry, the_hold_of_a_mass_removal_keeps_to_the_same_bound)
+{
+    LoggedRegistry it({.massRemovalHold = 1s, .removalBound = 2700ms});
+    for (const char *id : {"a", "b", "c", "d"}) {
+        it.registry.put(target(id, 1));
+    }
+    it.registry.verified(Start);
+    it.registry.replace({}, 9, Start + 2s);
+    cr_assert(!it.registry.expire(Start + 2s));
+    cr_assert(it.registry.nextExpiry() == Start + 2700ms);
+    cr_assert(it.registry.expire(Start + 2700ms) && it.ids().empty());
+}
+
+Test(registry, an_outage_that_several_calls_have_proven_counts_until_the_last_of_them)
+{
+    LoggedRegistry it({.lapseHold = 2s, .removalBound = 2700ms, .outageBound = 2650ms});
+    it.registry.put(target("a", 1));
+    it.registry.verified(Start);
+    for (const Duration at : {1s, 5s, 9s}) {
+        it.registry.storeLost(Start + at);
+    }
+    it.registry.storeRecovered(Start + 9500ms);
+    it.registry.remove("a", 5, Start + 9500ms);
+    cr_assert(it.registry.nextExpiry() == Start + 11500ms, "its entry may be written again");
+    it.registry.verified(Start + 9500ms);
+    it.registry.put(target("b", 1, 8));
+    it.registry.remove("b", 9, Start + 10s);
+    cr_assert(it.registry.nextExpiry() == Start + 11500ms);
+}
--- a/tests/platform/test_follow.cpp
+++ b/tests/platform/test_follow.cpp
@@ -16,7 +16,7 @@
 
 /// A follower of a fake store, and the configuration that it applied last.
 struct FollowerFixture {
-    explicit FollowerFixture(std::function<void(std::string_view id)> beforeTarget = {})
+    explicit FollowerFixture(std::function<void(std::string_view id)> beforeTarget = {}, Duration lapseHold = 300ms)
     {
         StoreOptions storeOptions;
         storeOptions.port = fake.port();
@@ -30,7 +30,7 @@
         options.pollDelay = 5ms;
         options.pollTimeout = 200ms;
         options.backoff = {5ms, 20ms};
-        options.registry.lapseHold = 300ms;
+        options.registry.lapseHold = lapseHold;
         follower = std::make_unique<Follower>(
             clock, metrics, *client, options,
             FollowerHooks{.readConfiguration = form.readConfiguration,
@@ -251,3 +251,16 @@
     cr_assert(eventually([&] { return it.targets() == 2; }), "i-1 is held after the outage");
     cr_assert(eventually([&] { return it.targets() == 1; }), "i-1 is removed when it does not register again");
 }
+
+// DRAIN: a cut poll passed for an outage of the store, so a worker that had left was held after its entry was removed.
+Test(follow, a_poll_that_is_cut_is_no_outage)
+{
+    FollowerFixture it({}, 10min);
+    it.start();
+    it.fake.put("servers/i-2", worker("ready", 1));
+    cr_assert(eventually([&] { return it.targets() == 2; }));
+    it.fake.cutNextPoll();
+    cr_assert(eventually([&] { return it.fake.pollCut(); }));
+    it.fake.remove("servers/i-1");
+    cr_assert(eventually([&] { return it.targets() == 1; }), "i-1 has left");
+}
