Never send a request twice on the same connection

Cause: a connection on which a worker had rejected a request went back to the pool, and a later attempt of the same request met it. The worker repeated its rejection and ran the request. Attempts share the id, so the copy matched.

Now each pooled connection remembers the requests that it has carried and that may come back (rejected, or answered 5xx), and is not given out for one of them again; it is closed rather than to remember more than 64.

Tests that failed without the change: workers::a_repeated_refusal_is_no_proof_for_a_later_attempt, connection_pool::a_connection_never_carries_the_same_request_twice.

The older tests of the pool pass the new parameter; what they assert is as it was.

--- a/src/back/connection_pool.cpp
+++ b/src/back/connection_pool.cpp
@@ -13,21 +13,28 @@
 {
 }
 
-Result<ConnectionLease> ConnectionPool::acquire(std::string_view key, int share, bool provenAliveOnly)
+Result<ConnectionLease> ConnectionPool::acquire(std::string_view key, int share, const ConnectionUse &use)
 {
     const TimePoint now = m_clock.now();
-    const Duration maxAge = provenAliveOnly ? m_options.freshLimit : m_options.idleLimit;
+    const Duration maxAge = use.provenAliveOnly ? m_options.freshLimit : m_options.idleLimit;
     Retired retired;
     LockGuard lock(m_mutex);
     TargetConnections &target = connectionsOf(key);
     // The connection with the most recent response is the most likely to be alive, so it is used first; the others
     // expire.
-    while (!target.idle.empty() && now - target.idle.back().answeredAt <= maxAge) {
-        Idle found = std::move(target.idle.back());
-        target.idle.pop_back();
+    for (size_t n = target.idle.size(); n > 0 && now - target.idle[n - 1].answeredAt <= maxAge; --n) {
+        const auto at = target.idle.begin() + static_cast<ptrdiff_t>(n) - 1;
+        if (use.request != 0 && at->history.carried(use.request)) {
+            continue;
+        }
+        Idle found = std::move(*at);
+        target.idle.erase(at);
         if (now < found.usableUntil && found.connection->isReusable()) {
             ++target.inUse;
-            return ConnectionLease{std::string(key), std::move(found.connection), true};
+            return ConnectionLease{.key = std::string(key),
+                                   .connection = std::move(found.connection),
+                                   .reused = true,
+                                   .history = std::move(found.history)};
         }
         retired.push_back(std::move(found));
     }
@@ -40,7 +47,7 @@
         target.idle.erase(target.idle.begin());
     }
     ++target.inUse;
-    return ConnectionLease{std::string(key), nullptr, false};
+    return ConnectionLease{.key = std::string(key)};
 }
 
 void ConnectionPool::release(ConnectionLease lease)
@@ -51,7 +58,9 @@
     DAMASK_ASSERT(target.inUse > 0, "call release() or discard() exactly once for each lease");
     --target.inUse;
     const Duration maxIdleTime = std::min(lease.maxIdleTime, m_options.idleLimit);
-    target.idle.push_back({std::move(lease.connection), now, now + maxIdleTime});
+    if (lease.history.requests.size() <= ConnectionHistory::MaxRequests) {
+        target.idle.push_back({std::move(lease.connection), now, now + maxIdleTime, std::move(lease.history)});
+    }
 }
 
 void ConnectionPool::discard(ConnectionLease lease)
--- a/src/back/load_probes.cpp
+++ b/src/back/load_probes.cpp
@@ -31,7 +31,7 @@
 
     void start()
     {
-        auto lease = m_pool.acquire(connectionKey(m_target.address, m_target.port), m_target.connectionShare, false);
+        auto lease = m_pool.acquire(connectionKey(m_target.address, m_target.port), m_target.connectionShare, {});
         if (!lease) {
             end(tl::make_unexpected(lease.error()));
             return;
--- a/src/back/sender.cpp
+++ b/src/back/sender.cpp
@@ -2,6 +2,7 @@
 
 #include "back/connection_pool.h"
 #include "back/request_head.h"
+#include "base/hash.h"
 #include "base/scope.h"
 #include "http/exchange.h"
 
@@ -13,6 +14,12 @@
 namespace {
 
 constexpr size_t MaxProbeResponse = 16UL * 1024; // bytes of a load report's body
+constexpr int FirstServerError = 500;            // HTTP status
+
+bool mayBeSentAgain(const AttemptResult &result, int status)
+{
+    return result.end == AttemptEnd::Refused || status >= FirstServerError;
+}
 
 } // namespace
 
@@ -43,7 +50,9 @@
 Result<ConnectionLease> Sender::State::connect(const Attempt &attempt, AttemptResult &out)
 {
     const TargetAddress &to = attempt.address;
-    auto lease = pool.acquire(connectionKey(to.address, to.port), to.connectionShare, !attempt.idempotent);
+    auto lease =
+        pool.acquire(connectionKey(to.address, to.port), to.connectionShare,
+                     {.provenAliveOnly = !attempt.idempotent, .request = hashBytes(attempt.request.requestId)});
     if (!lease || lease->connection) {
         return lease;
     }
@@ -97,6 +106,9 @@
     }
     if (result.reusable && !cancelled && out.end != AttemptEnd::Lost) {
         lease.maxIdleTime = keepAliveTime(result.head.headers).value_or(lease.maxIdleTime);
+        if (mayBeSentAgain(out, result.head.status)) {
+            lease.history.requests.push_back(hashBytes(attempt.request.requestId));
+        }
         pool.release(std::move(lease));
     } else {
         pool.discard(std::move(lease));
--- a/tests/back/test_connection_pool.cpp
+++ b/tests/back/test_connection_pool.cpp
@@ -20,7 +20,7 @@
     }
     ConnectionLease acquire()
     {
-        auto lease = pool.acquire(Key, 4, false);
+        auto lease = pool.acquire(Key, 4, {});
         cr_assert(lease.has_value());
         if (!lease->connection) {
             std::array<int, 2> ends{};
@@ -66,11 +66,11 @@
     it.clock.advance(400ms);
     it.pool.release(std::move(second));
     it.clock.advance(400ms);
-    auto proven = it.pool.acquire(Key, 4, true);
+    auto proven = it.pool.acquire(Key, 4, {.provenAliveOnly = true});
     cr_assert(proven->connection.get() == newest && proven->reused);
-    auto fresh = it.pool.acquire(Key, 4, true);
+    auto fresh = it.pool.acquire(Key, 4, {.provenAliveOnly = true});
     cr_assert(!fresh->connection, "the other connection's last response is older than freshLimit");
-    auto old = it.pool.acquire(Key, 4, false);
+    auto old = it.pool.acquire(Key, 4, {});
     cr_assert(old->connection != nullptr, "it is still usable for an idempotent attempt");
     cr_assert(it.pool.open(Key) == 3);
 }
@@ -82,8 +82,26 @@
     for (int n = 0; n < 4; ++n) {
         leases.push_back(it.acquire());
     }
-    cr_assert(it.pool.acquire(Key, 4, false).error().code == Code::TargetShares);
+    cr_assert(it.pool.acquire(Key, 4, {}).error().code == Code::TargetShares);
     it.pool.discard(std::move(leases.back()));
     cr_assert(it.pool.open(Key) == 3);
-    cr_assert(it.pool.acquire(Key, 4, false).has_value());
+    cr_assert(it.pool.acquire(Key, 4, {}).has_value());
+}
+
+// REFUSED: a copy of an earlier refusal of the same request passed for the answer to its next attempt.
+Test(connection_pool, a_connection_never_carries_the_same_request_twice)
+{
+    PoolFixture it;
+    auto refused = it.acquire();
+    const Connection *const used = refused.connection.get();
+    refused.history.requests.push_back(7);
+    it.pool.release(std::move(refused));
+    auto again = it.pool.acquire(Key, 4, {.request = 7});
+    cr_assert(again && !again->connection && it.pool.idle(Key) == 1, "the connection stays for other requests");
+    it.pool.discard(std::move(*again));
+    auto other = it.pool.acquire(Key, 4, {.request = 8});
+    cr_assert(other && other->connection.get() == used && other->history.carried(7));
+    other->history.requests.resize(ConnectionHistory::MaxRequests + 1);
+    it.pool.release(std::move(*other));
+    cr_assert(it.pool.open(Key) == 0, "its history has become too long");
 }
--- a/tests/platform/test_workers.cpp
+++ b/tests/platform/test_workers.cpp
@@ -3,7 +3,9 @@
 #include "fakes/fake_target.h"
 #include "platform/platform.h"
 
+#include <atomic>
 #include <criterion/criterion.h>
+#include <set>
 
 using namespace damask;
 using namespace std::chrono_literals;
@@ -137,6 +139,31 @@
     cr_assert(it.counts().open == 0, "data after the answer closes the connection");
 }
 
+// REFUSED: a worker repeats a refusal when the request comes back on the same connection, and then runs it. The copy bears
+// the id of the very request.
+Test(workers, a_repeated_refusal_is_no_proof_for_a_later_attempt)
+{
+    constexpr std::string_view Refused = "X-Request-Id: r-1\r\nX-Not-Executed: 1\r\n";
+    const std::string refusal = completeResponse("", Refused, "503 Service Unavailable");
+    std::set<int> seen;
+    std::atomic<int> runs{0};
+    FakeTarget target([&](int connection, const std::string &) {
+        if (seen.insert(connection).second) {
+            return FakeReply{refusal};
+        }
+        ++runs;
+        return FakeReply{refusal + completeResponse("ran", SealedHeaders)};
+    });
+    SenderFixture it(target);
+    for (int n = 0; n < 3; ++n) {
+        cr_assert(it.send().end == AttemptEnd::Refused);
+    }
+    cr_assert(runs == 0 && target.accepted() == 3, "each attempt uses another connection");
+    it.request.requestId = "r-2";
+    it.send();
+    cr_assert(target.accepted() == 3, "other requests reuse them");
+}
+
 Test(workers, an_answer_before_the_whole_body_was_sent_ends_the_request)
 {
     FakeTarget target(alwaysReply({}));
