Take no copy of an earlier answer for the answer to a request

Cause: health checks share connections with requests, and their answers carry no id. A rejection without an id was taken as proof for whichever request waited on the connection.

Now a connection remembers that an answer has not named its request. From then on an answer without an id is skipped, like one with another request's id, and the answer to the request is awaited behind it (8 skipped at most); the connection is closed afterwards. If nothing can follow, the outcome is unknown. Copies change neither push-back nor drain. Protocols whose answers need not carry an id (damask-entry) are as before; this is said in target_protocol.h and listed as open.

Changed tests. sender::a_late_second_copy_of_an_answer_is_not_the_next_callers asked for a failed call though its own answer followed; it now asks for that answer and for the closed connection, and a second test has the copy alone, which must end unknown. The refusals of test_upload lacked the id that workers echo in all answers (PROTOCOL.md, Workers); they have it now, and close, since the fake serves one connection at a time.

--- a/src/back/connection_pool.h
+++ b/src/back/connection_pool.h
@@ -27,6 +27,7 @@
     static constexpr size_t MaxRequests = 64; // the connection is closed rather than to keep more
 
     std::vector<uint64_t> requests; // hashes of the ids of requests that were answered, but may be sent again
+    bool                  unnamedAnswer = false; // an answer has not named its request, e.g. that to a load probe
 
     bool carried(uint64_t request) const
     {
@@ -54,8 +55,8 @@
 public:
     ConnectionPool(Clock &clock, const ConnectionPoolOptions &options);
 
-    /// TargetShares if the whole share is in use. A connection that has carried the request before is not reused for it:
-    /// the target may repeat its earlier answer, which bears the same id.
+    /// TargetShares if the whole share is in use. A connection that has carried the request before is not reused for
+    /// it: the target may repeat its earlier answer, which bears the same id.
     Result<ConnectionLease> acquire(std::string_view key, int share, const ConnectionUse &use);
 
     void release(ConnectionLease lease);                     // after a complete response: keeps the connection
--- a/src/back/load_probes.cpp
+++ b/src/back/load_probes.cpp
@@ -162,6 +162,7 @@
             return;
         }
         m_reusable = m_bytes.size() == headBytes + length && !head->close;
+        m_lease.history.unnamedAnswer = true;
         m_lease.maxIdleTime = keepAliveTime(head->headers).value_or(m_lease.maxIdleTime);
         m_result.notice = m_protocol.notice(m_target, {}, *head);
         auto report = m_protocol.readProbe(m_target, *head, std::string_view(m_bytes).substr(headBytes));
--- a/src/back/sender.cpp
+++ b/src/back/sender.cpp
@@ -3,6 +3,7 @@
 #include "back/connection_pool.h"
 #include "back/request_head.h"
 #include "base/hash.h"
+#include "base/log.h"
 #include "base/scope.h"
 #include "http/exchange.h"
 
@@ -35,8 +36,10 @@
     }
 
     Result<ConnectionLease> connect(const Attempt &attempt, AttemptResult &out);
+    bool isCopy(const Attempt &attempt, const ConnectionLease &lease, const ResponseHead &head) const;
     void run(const Attempt &attempt, ConnectionLease lease, TimePoint deadline, AttemptResult &out);
-    void classify(const Attempt &attempt, const ExchangeResult &result, AttemptResult &out) const;
+    void classify(const Attempt &attempt, const ConnectionLease &lease, const ExchangeResult &result,
+                  AttemptResult &out) const;
     void fillResponse(AttemptResult &out, ExchangeResult &&result, std::string_view target) const;
 
     Clock &clock;
@@ -67,6 +70,15 @@
     return lease;
 }
 
+/// Whether a response repeats an earlier one of the connection, which proves nothing about this attempt: the target may
+/// run the request, and its own response may still follow.
+bool Sender::State::isCopy(const Attempt &attempt, const ConnectionLease &lease, const ResponseHead &head) const
+{
+    const std::string_view id = protocol.requestId(head);
+    return id.empty() ? protocol.namesRequests && lease.history.unnamedAnswer
+                      : lease.reused && id != attempt.request.requestId;
+}
+
 void Sender::State::run(const Attempt &attempt, ConnectionLease lease, TimePoint deadline, AttemptResult &out)
 {
     const std::shared_ptr<Connection> connection = lease.connection;
@@ -87,15 +99,28 @@
                                       .deadline = deadline,
                                       .maxResponseBytes = options.maxResponseBytes,
                                       .closeEndsBody = protocol.closeEndsBody,
-                                      .reserve = reserve});
+                                      .reserve = reserve,
+                                      .skips = [&](const ResponseHead &it) {
+                                          return isCopy(attempt, lease, it);
+                                      }});
     // Done before the connection is released: a later cancellation must not interrupt its next user.
     attempt.cancel->removeCallback(callbackId);
     const bool cancelled = attempt.cancel->cancelled();
     if (cancelled && result.code == Code::Ok && result.head.framing == BodyFraming::ByClose) {
         result.code = Code::Cancelled; // the body ended because of our own interrupt()
     }
-    classify(attempt, result, out);
-    out.notice = protocol.notice(attempt.address, attempt.request.requestId, result.head);
+    if (result.skipped > 0) {
+        metrics.count("damask_back_repeated_answers_total");
+        logEvent(Severity::Info, "answer-repeated",
+                 {{"target", attempt.address.name},
+                  {"request", attempt.request.requestId},
+                  {"skipped", result.skipped},
+                  {"code", codeNumber(result.code)}});
+    }
+    classify(attempt, lease, result, out);
+    if (!isCopy(attempt, lease, result.head)) {
+        out.notice = protocol.notice(attempt.address, attempt.request.requestId, result.head);
+    }
     if (result.code != Code::Ok && cancelled) {
         out.code = Code::Cancelled;
     }
@@ -109,6 +134,7 @@
         if (mayBeSentAgain(out, result.head.status)) {
             lease.history.requests.push_back(hashBytes(attempt.request.requestId));
         }
+        lease.history.unnamedAnswer = lease.history.unnamedAnswer || protocol.requestId(result.head).empty();
         pool.release(std::move(lease));
     } else {
         pool.discard(std::move(lease));
@@ -120,7 +146,8 @@
 
 /// Sets out.end (how far the attempt got) and out.code (why). A complete response that does not belong to this request
 /// counts as Lost, since it does not prove whether the request ran.
-void Sender::State::classify(const Attempt &attempt, const ExchangeResult &result, AttemptResult &out) const
+void Sender::State::classify(const Attempt &attempt, const ConnectionLease &lease, const ExchangeResult &result,
+                             AttemptResult &out) const
 {
     out.code = result.code;
     if (result.code != Code::Ok) {
@@ -129,6 +156,11 @@
         out.code = sent || result.bodyFailed ? result.code : Code::ConnectFailed;
         return;
     }
+    if (isCopy(attempt, lease, result.head)) {
+        out.end = AttemptEnd::Lost;
+        out.code = Code::BadAnswer;
+        return;
+    }
     if (const auto checked = protocol.check(attempt, result.head); !checked) {
         out.end = AttemptEnd::Lost;
         out.code = checked.error().code;
--- a/src/back/target_protocol.cpp
+++ b/src/back/target_protocol.cpp
@@ -120,6 +120,9 @@
     out.refusalCode = readRefusal;
     out.notice = readNotice;
     out.check = checkRequestId;
+    out.requestId = [](const ResponseHead &head) {
+        return headerValue(head.headers, header::RequestId);
+    };
     out.strips = [](std::string_view name) {
         return isOneOf(ResponseFields, name);
     };
--- a/src/back/target_protocol.h
+++ b/src/back/target_protocol.h
@@ -1,6 +1,7 @@
 /// Hooks that encode and decode the header fields which damaskflow and targets exchange in addition to plain HTTP.
 ///
 /// Use: the default is damaskflow's own interface (docs/INTERFACE.md); an adapter supplies the fields of its platform.
+/// Pitfall: unless namesRequests is set, a target that repeats an earlier refusal without an id is believed.
 /// Pitfall: a code from refusalCode() is treated as proof that the request did not run and never will.
 #pragma once
 
@@ -26,7 +27,8 @@
     std::function<std::optional<Code>(const ResponseHead &)>
         refusalCode; // why it did not run the request; none: it may have
     std::function<Result<void>(const Attempt &, const ResponseHead &)> check; // BadAnswer: response to another request
-    std::function<bool(std::string_view name)> strips; // response fields that are not passed on to callers
+    std::function<std::string_view(const ResponseHead &)> requestId; // of the request that it answers; empty: not named
+    std::function<bool(std::string_view name)>            strips; // response fields that are not passed on to callers
 
     /// What an answer says about the target's availability. `requestId` is empty for probes. The notice of another
     /// process, or one that answers another request, must be left out.
@@ -37,6 +39,7 @@
     std::function<Result<LoadReport>(const TargetAddress &, const ResponseHead &, std::string_view body)>
         readProbe; // BadAnswer if the response is malformed
 
+    bool namesRequests = false; // each answer to a request carries its id, so one without may be a copy of another's
     bool closeEndsBody = false; // accept a body without a length that ends with a clean close
 };
 
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -73,6 +73,14 @@
     {
         m_framingBytes = 0;
     }
+    /// The next bytes begin another response.
+    void startNext()
+    {
+        m_head.clear();
+        m_last = {};
+        m_framingBytes = 0;
+        m_headComplete = false;
+    }
     Code code() const
     {
         return m_code;
@@ -230,6 +238,24 @@
     return ended ? Code::Ok : Code::BadAnswer;
 }
 
+/// Reads responses until one is not skipped. A request that was not sent completely gets no response of its own.
+Code readOwnResponse(ResponseStream &stream, const ExchangeRequest &request, bool sent, ExchangeResult &out)
+{
+    while (true) {
+        const Code code = readResponse(stream, request, out);
+        const bool kept = out.head.framing != BodyFraming::ByClose && !out.head.close;
+        if (code != Code::Ok || !sent || !kept || !request.skips || !request.skips(out.head)) {
+            return code;
+        }
+        if (++out.skipped > MaxSkippedResponses) {
+            return Code::BadAnswer;
+        }
+        out.head = {};
+        out.body.clear();
+        stream.startNext();
+    }
+}
+
 /// Waits until more of the body or an early response may have arrived.
 void waitForEither(int body, int target, Duration timeout)
 {
@@ -335,11 +361,11 @@
     // A target may respond and close before it has read the complete body, so the response is read even if sending
     // failed.
     ResponseStream stream(connection, clock, request.deadline);
-    const Code code = readResponse(stream, request, out);
+    const Code code = readOwnResponse(stream, request, sent.end == IoEnd::Done, out);
     out.responseStarted = stream.responseStarted();
     out.code = asTruncated(code, out.responseStarted);
     out.reusable = out.code == Code::Ok && !out.head.close && out.head.framing != BodyFraming::ByClose
-                   && stream.drained() && sent.end == IoEnd::Done;
+                   && stream.drained() && sent.end == IoEnd::Done && out.skipped == 0;
     return out;
 }
 
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -15,17 +15,23 @@
 
 namespace damask {
 
+constexpr int MaxSkippedResponses = 8; // of one exchange
+
 /// The request, and the limits of its response.
 struct ExchangeRequest {
     std::string_view method;
     std::string_view head; // request line, fields and blank line
     std::string_view body;
-    BodyStream      *stream = nullptr;      // sent instead of `body`, in chunks if its length is unknown
-    TimePoint        deadline = Never;      // for the complete response
-    size_t           maxResponseBytes = 0;  // of the body
-    bool             closeEndsBody = false; // accept a body without a length that ends with a clean close
+    BodyStream      *stream = nullptr;   // sent instead of `body`, in chunks if its length is unknown
+    TimePoint        deadline = Never;   // for the complete response
+    size_t           maxResponseBytes = 0;         // of the body
+    bool             closeEndsBody = false;        // accept a body without a length that ends with a clean close
 
     std::function<bool(size_t bytes)> reserve = {}; // called before more of the body is kept; false: AnswerTooLarge
+
+    /// Whether a complete response answers an earlier request. It is discarded, and the next one is read, up to
+    /// MaxSkippedResponses; the connection is not reusable then.
+    std::function<bool(const ResponseHead &)> skips = {};
 };
 
 /// Result of one exchange. The connection may be used again only if reusable is set.
@@ -36,7 +42,8 @@
     size_t       bytesSent = 0;           // of the request; 0: nothing was sent
     bool         bodyFailed = false;      // the stream failed with `code`; the request was not sent to its end
     bool         responseStarted = false; // at least one byte of a response was received
-    bool         reusable = false;        // the response was complete and no data followed it
+    int          skipped = 0;             // responses to earlier requests that came before it
+    bool         reusable = false;        // the response was complete, none was skipped, and no data followed it
 };
 
 ExchangeResult exchange(Connection &connection, const Clock &clock, const ExchangeRequest &request);
--- a/tests/back/test_sender.cpp
+++ b/tests/back/test_sender.cpp
@@ -328,6 +328,18 @@
     cr_assert(it.get().response.body == "first");
     it.request.requestId = "r-2";
     const AttemptResult got = it.get();
-    cr_assert(got.end == AttemptEnd::Lost && got.code == Code::BadAnswer);
+    cr_assert(got.end == AttemptEnd::Answered && got.response.body == "second", "its own answer follows the copy");
+    cr_assert(it.counts().open == 0, "the connection is closed");
+}
+
+Test(sender, a_late_second_copy_with_no_answer_after_it_is_not_the_next_callers)
+{
+    const std::string first = completeResponse("first", "X-Request-Id: r-1\r\n");
+    FakeTarget target([&](int, const std::string &) { return FakeReply{first, false, false}; });
+    SenderFixture it(target);
+    cr_assert(it.get().response.body == "first");
+    it.request.requestId = "r-2";
+    const AttemptResult got = it.get();
+    cr_assert(got.end == AttemptEnd::Lost && got.code == Code::AnswerTimeout);
     cr_assert(it.counts().open == 0, "the connection is closed");
 }
--- a/tests/platform/test_upload.cpp
+++ b/tests/platform/test_upload.cpp
@@ -18,8 +18,8 @@
 
 constexpr std::string_view Answer =
     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Request-Id: r-1\r\nX-Response-Seal: s\r\n\r\ndone";
-constexpr std::string_view Refusal =
-    "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nX-Not-Executed: 1\r\n\r\n";
+constexpr std::string_view Refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nX-Request-Id: "
+                                     "r-1\r\nX-Not-Executed: 1\r\nConnection: close\r\n\r\n";
 constexpr size_t Megabyte = 1024 * 1024;
 
 Configuration uploadsTo(const FakeUploadTarget &target, int targets)
--- a/tests/platform/test_workers.cpp
+++ b/tests/platform/test_workers.cpp
@@ -139,8 +139,8 @@
     cr_assert(it.counts().open == 0, "data after the answer closes the connection");
 }
 
-// REFUSED: a worker repeats a refusal when the request comes back on the same connection, and then runs it. The copy bears
-// the id of the very request.
+// REFUSED: a worker repeats a refusal when the request comes back on the same connection, and then runs it. The copy
+// bears the id of the very request.
 Test(workers, a_repeated_refusal_is_no_proof_for_a_later_attempt)
 {
     constexpr std::string_view Refused = "X-Request-Id: r-1\r\nX-Not-Executed: 1\r\n";
@@ -164,6 +164,69 @@
     cr_assert(target.accepted() == 3, "other requests reuse them");
 }
 
+// TWICE: the repeated rejection of a health check passed for the answer to the next request on its connection, which
+// then ran at a second worker too.
+Test(workers, a_repeated_rejection_of_a_health_check_is_no_proof_for_a_request)
+{
+    const std::string rejection = completeResponse("", "X-Not-Executed: 1\r\n", "503 Service Unavailable");
+    FakeTarget target([&](int, const std::string &request) {
+        return request.starts_with("GET ") ? FakeReply{rejection}
+                                           : FakeReply{rejection + completeResponse("ran", SealedHeaders)};
+    });
+    SenderFixture it(target);
+    cr_assert(it.ask().report.error().code == Code::TargetRefused);
+    const AttemptResult got = it.send();
+    cr_assert(target.accepted() == 1 && got.end == AttemptEnd::Answered && got.response.body == "ran");
+    cr_assert(it.counts().open == 0, "more copies may follow");
+}
+
+Test(workers, a_repeated_rejection_that_ends_the_connection_proves_nothing)
+{
+    constexpr std::string_view Unavailable = "503 Service Unavailable";
+    const std::string fields = "X-Not-Executed: 1\r\nRetry-After: 2\r\n";
+    FakeTarget target([&](int, const std::string &request) {
+        const bool isCheck = request.starts_with("GET ");
+        return FakeReply{completeResponse("", isCheck ? fields : fields + "Connection: close\r\n", Unavailable),
+                         !isCheck};
+    });
+    SenderFixture it(target);
+    cr_assert(it.ask().report.error().code == Code::TargetRefused);
+    const AttemptResult got = it.send();
+    cr_assert(target.accepted() == 1 && got.end == AttemptEnd::Lost && got.code == Code::BadAnswer);
+    cr_assert(got.notice.pushBack == 0ms, "it was said before");
+}
+
+Test(workers, the_answer_that_follows_a_copy_of_another_requests_answer_is_delivered)
+{
+    FakeTarget target([count = 0](int, const std::string &) mutable {
+        const std::string other = completeResponse("other", "X-Request-Id: r-0\r\nX-Response-Seal: s\r\n");
+        return FakeReply{++count == 1 ? other : other + completeResponse("own", SealedHeaders)};
+    });
+    SenderFixture it(target);
+    it.request.requestId = "r-0";
+    cr_assert(it.send().response.body == "other");
+    it.request.requestId = "r-1";
+    cr_assert(it.send().response.body == "own" && target.accepted() == 1);
+}
+
+Test(workers, copies_without_end_are_given_up)
+{
+    FakeTarget target([count = 0](int, const std::string &) mutable {
+        const std::string other = completeResponse("other", "X-Request-Id: r-0\r\nX-Response-Seal: s\r\n");
+        std::string out;
+        for (int n = ++count == 1 ? 1 : 100; n > 0; --n) {
+            out += other;
+        }
+        return FakeReply{out};
+    });
+    SenderFixture it(target);
+    it.request.requestId = "r-0";
+    cr_assert(it.send().response.body == "other");
+    it.request.requestId = "r-1";
+    const AttemptResult got = it.send(MeaningTimeout);
+    cr_assert(got.end == AttemptEnd::Lost && got.code == Code::BadAnswer && it.counts().open == 0);
+}
+
 Test(workers, an_answer_before_the_whole_body_was_sent_ends_the_request)
 {
     FakeTarget target(alwaysReply({}));
