Let a large configuration reach nodes on slow links in time

Cause: the whole reply of the store had to arrive within 1 s, whatever its size, and was asked for again from the start. Between nodes each version travelled whole, and again with each answer to a follower that had not received it yet. The value also took up the log of changes, so that followers fell out of it and called the store.

Now a reply of the store may take as long as its bytes at an eighth of the link, without a pause of call-timeout. Between nodes the configuration is one Zstandard frame against the version that the follower has, with a digest; a node of an earlier version gets it as it is. What is on its way is not sent again until it must have arrived. The log holds the revision alone.

--- a/src/follow/follower_news.cpp
+++ b/src/follow/follower_news.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace damask {
 
@@ -95,6 +96,10 @@
         changesMissing = changesMissing || (verified && news.revision > revision);
         return;
     }
+    if (!unpack(news)) {
+        changesMissing = true;
+        return;
+    }
     for (StoreChange &it : news.changes) {
         if (it.revision > revision) {
             applyChange(it);
@@ -116,11 +121,55 @@
     }
 }
 
-/// Logs the changes for the nodes that follow this one.
-void Follower::State::record(std::span<const StoreChange> changes, uint64_t upTo, TimePoint verified)
+/// Replaces packed changes by plain ones. False if one can't be read; the store has it.
+bool Follower::State::unpack(StoreNews &news)
+{
+    for (PackedChange &it : news.packed) {
+        if (it.revision <= revision) {
+            continue;
+        }
+        StoredValue base;
+        {
+            LockGuard lock(mutex);
+            base = it.base == current.revision ? current : StoredValue();
+        }
+        auto value =
+            it.base != 0 && !base.bytes
+                ? Result<std::string>(fail(Code::BadMessage, "the value that it was packed against is not here"))
+                : unpackValue(it.value, it.base != 0 ? std::string_view(*base.bytes) : std::string_view());
+        if (!value) {
+            metrics.countCode("damask_packed_changes_refused_total", value.error().code);
+            logEvent(Severity::Warning, "packed-change-refused",
+                     {{"key", it.key}, {"revision", it.revision}, {"base", it.base}, {"detail", value.error().detail}});
+            return false;
+        }
+        news.changes.push_back({std::move(it.key), std::move(*value), it.revision});
+    }
+    return true;
+}
+
+/// Keeps the value for followers, and to unpack the next one. Under mutex.
+void Follower::State::keepConfiguration(std::string value, uint64_t entryRevision)
+{
+    if (options.sources.seeds.empty() || entryRevision <= current.revision) {
+        return;
+    }
+    previous = hasFollowers ? std::move(current) : StoredValue();
+    current = {std::make_shared<const std::string>(std::move(value)), entryRevision};
+    packedWhole.reset();
+    packedDifference.reset();
+}
+
+/// Logs the changes for the nodes that follow this one. Takes the value of the configuration.
+void Follower::State::record(std::span<StoreChange> changes, uint64_t upTo, TimePoint verified)
 {
     knownRevision = upTo;
     LockGuard lock(mutex);
+    for (StoreChange &it : changes) {
+        if (it.key == options.configurationKey && it.value) {
+            keepConfiguration(std::exchange(*it.value, std::string()), it.revision);
+        }
+    }
     verifiedAt = std::max(verifiedAt, verified);
     status.verifiedAt = verifiedAt;
     if (!options.sources.seeds.empty()) {
@@ -136,8 +185,9 @@
     std::vector<StoreChange> differences;
     for (const StoreEntry &it : listed.entries) {
         listedKeys.insert(it.key);
+        const bool isConfiguration = it.key == options.configurationKey;
         if (it.version > knownRevision && it.version <= listed.revision) {
-            differences.push_back({it.key, it.value, it.version});
+            differences.push_back({it.key, isConfiguration ? std::string() : it.value, it.version});
         }
     }
     for (const RegisteredTarget &it : registry.targets()) {
@@ -150,6 +200,11 @@
               [](const auto &a, const auto &b) { return a.revision < b.revision; });
     {
         LockGuard lock(mutex);
+        for (const StoreEntry &it : listed.entries) {
+            if (it.key == options.configurationKey) {
+                keepConfiguration(it.value, it.version);
+            }
+        }
         if (knownRevision == 0) {
             log.restart(listed.revision);
         } else {
@@ -172,9 +227,51 @@
     }
 }
 
+/// The current value, against the previous one if the receiver has that.
+Result<PackedChange> Follower::State::packConfiguration(uint64_t knownBy)
+{
+    const bool differs = previous.bytes && knownBy >= previous.revision;
+    std::optional<PackedChange> &kept = differs ? packedDifference : packedWhole;
+    if (!kept) {
+        auto packed = packValue(*current.bytes, differs ? std::string_view(*previous.bytes) : std::string_view());
+        if (!packed) {
+            return tl::make_unexpected(packed.error());
+        }
+        kept = PackedChange{.key = options.configurationKey,
+                            .value = std::move(*packed),
+                            .base = differs ? previous.revision : 0,
+                            .revision = current.revision};
+        metrics.count("damask_configuration_packed_total", {{"form", differs ? "difference" : "whole"}});
+    }
+    return *kept;
+}
+
+/// Puts the value of the configuration, which the log does not have, into the news. Under mutex.
+void Follower::State::fillConfiguration(StoreNews &news, const FollowRequest &request)
+{
+    const auto it = std::find_if(news.changes.begin(), news.changes.end(), [this](const StoreChange &change) {
+        return change.key == options.configurationKey && change.value;
+    });
+    if (it == news.changes.end()) {
+        return;
+    }
+    if (it->revision != current.revision) {
+        news.whole = false;
+        news.changes.clear();
+        return;
+    }
+    auto packed = request.unpacks ? packConfiguration(request.revision) : Result<PackedChange>(fail(Code::NotFound));
+    if (packed) {
+        news.packed.push_back(std::move(*packed));
+        news.changes.erase(it);
+    } else {
+        it->value = *current.bytes;
+    }
+}
+
 StoreNews Follower::news(const FollowRequest &request, size_t maxBytes) const
 {
-    const State &state = *m_state;
+    State &state = *m_state;
     LockGuard lock(state.mutex);
     StoreNews out{.number = request.number, .from = request.revision, .revision = state.log.revision()};
     const bool everVerified = state.status.verifiedAt != TimePoint();
@@ -190,6 +287,8 @@
         out.more = step->more;
         out.revision = step->more ? step->changes.back().revision : out.revision;
         out.changes = std::move(step->changes);
+        state.hasFollowers = true;
+        state.fillConfiguration(out, request);
     }
     return out;
 }
--- a/src/follow/follower_state.h
+++ b/src/follow/follower_state.h
@@ -6,6 +6,7 @@
 #include "base/token_bucket.h"
 #include "follow/follower.h"
 
+#include <memory>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -13,38 +14,48 @@
 
 namespace damask {
 
+/// A value of the operators' configuration, as read from the store.
+struct StoredValue {
+    std::shared_ptr<const std::string> bytes; // null: none
+    uint64_t                           revision = 0;
+};
+
 struct Follower::State {
     State(Clock &clockIn, Metrics &metricsIn, StoreClient &storeIn, const FollowerOptions &optionsIn,
           FollowerHooks hooksIn);
 
-    void      run();
-    void      callStore();
-    bool      readSnapshot(ListFreshness freshness);
-    bool      mayStartStale() const;
-    void      readEntries(std::span<const StoreEntry> entries, std::vector<RegisteredTarget> &targets);
-    void      startFromFirstPage(const StoreListing &page);
-    void      recordList(const StoreListing &listed, TimePoint now);
-    bool      pollOnce();
-    void      applyChange(StoreChange &change);
-    void      applyConfiguration(std::string_view value, uint64_t entryRevision);
-    void      recordRegistryChange(std::string_view id, RegistryOutcome outcome, std::string_view detail);
-    void      logRefusedParts(uint64_t entryRevision);
-    bool      applyTarget(std::string_view id, std::string_view value, uint64_t entryRevision,
-                          std::vector<RegisteredTarget> *into);
-    void      publish();
-    void      markStoreLost(std::string_view call, const Error &error);
-    void      markStoreReachable(TimePoint verifiedAt);
-    bool      sleepUntil(TimePoint until);
-    Duration  nextPollTimeout();
-    bool      storeIsReachable();
-    void      processInbox();
-    void      applyNews(StoreNews &news);
-    void      sendDueRequests();
-    bool      mustCallStore(TimePoint now);
-    bool      pollsContinuously() const;
-    void      chooseSource(TimePoint now);
-    void      record(std::span<const StoreChange> changes, uint64_t upTo, TimePoint verifiedAt);
-    TimePoint nextWakeUp(TimePoint now) const;
+    void                 run();
+    void                 callStore();
+    bool                 readSnapshot(ListFreshness freshness);
+    bool                 mayStartStale() const;
+    void                 readEntries(std::span<const StoreEntry> entries, std::vector<RegisteredTarget> &targets);
+    void                 startFromFirstPage(const StoreListing &page);
+    void                 recordList(const StoreListing &listed, TimePoint now);
+    bool                 pollOnce();
+    void                 applyChange(StoreChange &change);
+    void                 applyConfiguration(std::string_view value, uint64_t entryRevision);
+    void                 recordRegistryChange(std::string_view id, RegistryOutcome outcome, std::string_view detail);
+    void                 logRefusedParts(uint64_t entryRevision);
+    bool                 applyTarget(std::string_view id, std::string_view value, uint64_t entryRevision,
+                                     std::vector<RegisteredTarget> *into);
+    void                 publish();
+    void                 markStoreLost(std::string_view call, const Error &error);
+    void                 markStoreReachable(TimePoint verifiedAt);
+    bool                 sleepUntil(TimePoint until);
+    Duration             nextPollTimeout();
+    bool                 storeIsReachable();
+    void                 processInbox();
+    void                 applyNews(StoreNews &news);
+    void                 sendDueRequests();
+    bool                 mustCallStore(TimePoint now);
+    bool                 pollsContinuously() const;
+    void                 chooseSource(TimePoint now);
+    void                 record(std::span<StoreChange> changes, uint64_t upTo, TimePoint verifiedAt);
+    void                 keepConfiguration(std::string value, uint64_t entryRevision);
+    bool                 unpack(StoreNews &news);
+    void                 fillConfiguration(StoreNews &news, const FollowRequest &request);
+    Result<PackedChange> packConfiguration(uint64_t knownBy);
+    TimePoint            nextWakeUp(TimePoint now) const;
 
     Clock          &clock;
     Metrics        &metrics;
@@ -73,15 +84,20 @@
     TokenBucket           registryLines;          // log lines for changes of targets
     uint64_t              registryLinesLeftOut = 0;
 
-    mutable RankedMutex    mutex{LockRank::Control};
-    Condition              wake;
-    FollowStatus           status;          // under mutex
-    std::vector<StoreNews> inbox;           // under mutex
-    ChangeLog              log;             // under mutex
-    int                    hops = 0;        // under mutex; nodes between this one and the store
-    bool                   stopped = false; // under mutex
-    CancelToken            cancel{LockRank::Attempt};
-    Thread                 thread;
+    mutable RankedMutex         mutex{LockRank::Control};
+    Condition                   wake;
+    FollowStatus                status;   // under mutex
+    std::vector<StoreNews>      inbox;    // under mutex
+    ChangeLog                   log;      // under mutex; of the configuration just the revision, its value is below
+    StoredValue                 current;  // under mutex; the configuration's latest value
+    StoredValue                 previous; // under mutex; the one before, once the node has followers
+    bool                        hasFollowers = false; // under mutex
+    std::optional<PackedChange> packedWhole;          // under mutex; current
+    std::optional<PackedChange> packedDifference;     // under mutex; current, against previous
+    int                         hops = 0;             // under mutex; nodes between this one and the store
+    bool                        stopped = false;      // under mutex
+    CancelToken                 cancel{LockRank::Attempt};
+    Thread                      thread;
 };
 
 } // namespace damask
--- a/src/follow/news.h
+++ b/src/follow/news.h
@@ -2,10 +2,12 @@
 ///
 /// Plain values. A follower sends a FollowRequest at a fixed interval, and the other node answers each with StoreNews.
 /// It also sends StoreNews unsolicited as soon as it learns of changes. An answer to a node that does not follow
-/// carries no changes. Changes too large for one message are sent in steps: the follower asks for the next at once.
+/// carries no changes. The operators' configuration travels packed, against the version that the follower has. Changes
+/// too large for one message are sent in steps: the follower asks for the next at once.
 #pragma once
 
 #include "base/time.h"
+#include "follow/packed_value.h"
 #include "store/protocol.h"
 
 #include <cstdint>
@@ -21,18 +23,28 @@
     std::string endpoint = {};          // IP:PORT at which the sender can be followed; empty: it can't
     std::string dataCentre = {};        // of the sender
     uint64_t    linkBytesPerSecond = 0; // capacity of the sender's link; 0: unknown
+    bool        unpacks = true;         // the sender can read packed changes
+};
+
+/// A change whose value is packed.
+struct PackedChange {
+    std::string key;
+    PackedValue value;
+    uint64_t    base = 0; // revision of the earlier value of the key that it was packed against; 0: none
+    uint64_t    revision = 0;
 };
 
 struct StoreNews {
-    uint64_t                 number = 0;   // of the request that it answers; 0: unsolicited
-    uint64_t                 from = 0;     // store revision after which the changes begin
-    uint64_t                 revision = 0; // store revision up to which the sender has all changes
-    Duration                 age{0};       // since the store confirmed that it had nothing newer
-    int                      hops = 0;     // nodes between the sender and the store; 0: it polls the store itself
-    bool                     whole = true; // false: some changes are no longer logged and must be read from the store
-    bool                     more = false; // the changes end before the sender's own revision: ask again for the next
-    std::vector<StoreChange> changes;      // by ascending revision; only the last of each key
-    std::string              relay = {};   // IP:PORT of a node nearby to follow instead of the sender; empty: none
+    uint64_t                  number = 0;   // of the request that it answers; 0: unsolicited
+    uint64_t                  from = 0;     // store revision after which the changes begin
+    uint64_t                  revision = 0; // store revision up to which the sender has all changes
+    Duration                  age{0};       // since the store confirmed that it had nothing newer
+    int                       hops = 0;     // nodes between the sender and the store; 0: it polls the store itself
+    bool                      whole = true; // false: some changes are no longer logged and must be read from the store
+    bool                      more = false; // the changes end before the sender's own revision: ask again for the next
+    std::vector<StoreChange>  changes;      // by ascending revision; only the last of each key
+    std::vector<PackedChange> packed = {};  // further changes, in place of those with large values
+    std::string               relay = {};   // IP:PORT of a node nearby to follow instead of the sender; empty: none
 };
 
 } // namespace damask
--- a/src/follow/registry.h
+++ b/src/follow/registry.h
@@ -1,8 +1,9 @@
 /// The targets that have registered themselves, as derived from their entries in the store.
 ///
 /// A removed entry removes its target, except around a store outage: entries that expired meanwhile are written again
-/// once their targets reach the store, so targets that were not draining are held for a short time. No hold lasts longer
-/// than removalBound after the entry was last known to exist, or than outageBound after the end of a proven outage.
+/// once their targets reach the store, so targets that were not draining are held for a short time. No hold lasts
+/// longer than removalBound after the entry was last known to exist, or than outageBound after the end of a proven
+/// outage.
 ///
 /// Pure: the caller passes the time. Not safe to share between threads.
 #pragma once
@@ -22,8 +23,9 @@
 struct RegistryOptions {
     Duration lapseHold = std::chrono::seconds(2);       // after an outage, for expired entries to be written again
     Duration massRemovalHold = std::chrono::seconds(1); // when most entries of a service go at once, without an outage
-    Duration removalBound = std::chrono::hours(1);      // from the last time at which a removed entry was known to exist
-    Duration outageBound = std::chrono::hours(1); // after a proven outage, from the last call that failed; for its expiries
+    Duration removalBound = std::chrono::hours(1); // from the last time at which a removed entry was known to exist
+    Duration outageBound =
+        std::chrono::hours(1); // after a proven outage, from the last call that failed; for its expiries
 };
 
 /// The effect of one change to an entry.
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -26,10 +26,10 @@
 class ResponseStream : public httplib::Stream
 {
 public:
-    ResponseStream(Connection &connection, const Clock &clock, TimePoint deadline)
+    ResponseStream(Connection &connection, const Clock &clock, const ExchangeRequest &request)
         : m_connection(connection)
         , m_clock(clock)
-        , m_deadline(deadline)
+        , m_request(request)
     {
     }
 
@@ -110,7 +110,7 @@
 private:
     bool fill()
     {
-        const Duration left = m_deadline - m_clock.now();
+        const Duration left = timeLeft();
         if (left <= Duration::zero()) {
             m_code = Code::AnswerTimeout; // bytes without end must not hold the caller beyond the deadline
             return false;
@@ -119,12 +119,22 @@
         if (got.end == IoEnd::Done) {
             m_at = 0;
             m_filled = got.bytes;
+            m_received += got.bytes;
             return true;
         }
         m_closed = got.end == IoEnd::Closed;
         m_code = got.end == IoEnd::TimedOut ? Code::AnswerTimeout : Code::ConnectionLost;
         return false;
     }
+    Duration timeLeft() const
+    {
+        const bool extends = m_request.bytesPerSecond > 0 && m_request.deadline != Never;
+        const Duration earned =
+            extends ? fromMilliseconds(1000 * static_cast<double>(m_received) / m_request.bytesPerSecond)
+                    : Duration::zero();
+        const Duration left = m_request.deadline - m_clock.now() + earned;
+        return m_received > 0 ? std::min(left, m_request.maxSilence) : left;
+    }
     void recordBytes(std::string_view bytes)
     {
         for (const char c : bytes.substr(bytes.size() - std::min(bytes.size(), m_last.size()))) {
@@ -151,8 +161,9 @@
 
     Connection &m_connection;
     const Clock &m_clock;
-    TimePoint m_deadline;
+    const ExchangeRequest &m_request;
     std::array<char, BufferBytes> m_buffer;
+    size_t m_received = 0; // bytes of all responses
     size_t m_at = 0;
     size_t m_filled = 0;
     std::array<char, 5> m_last{}; // last bytes read by the library
@@ -360,7 +371,7 @@
     }
     // A target may respond and close before it has read the complete body, so the response is read even if sending
     // failed.
-    ResponseStream stream(connection, clock, request.deadline);
+    ResponseStream stream(connection, clock, request);
     const Code code = readOwnResponse(stream, request, sent.end == IoEnd::Done, out);
     out.responseStarted = stream.responseStarted();
     out.code = asTruncated(code, out.responseStarted);
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -24,6 +24,8 @@
     std::string_view body;
     BodyStream      *stream = nullptr;   // sent instead of `body`, in chunks if its length is unknown
     TimePoint        deadline = Never;   // for the complete response
+    double           bytesPerSecond = 0; // each byte received extends the deadline by its time at this rate; 0: not
+    Duration         maxSilence = Duration::max(); // between two parts of the response, after its first byte
     size_t           maxResponseBytes = 0;         // of the body
     bool             closeEndsBody = false;        // accept a body without a length that ends with a clean close
 
--- a/src/programs/damask-node/neighbours.cpp
+++ b/src/programs/damask-node/neighbours.cpp
@@ -15,15 +15,30 @@
 
 constexpr double LinkSecondsPerChange = 0.1; // seconds of link capacity for one change, to all followers together
 constexpr size_t MinNewsBytes = 1024;        // allowed in an answer even on the slowest link
+constexpr double TransitSafety = 2;          // the link carries callers' traffic besides
 constexpr size_t SendQueueLimit = 8; // messages queued per connection; bounds what a seed that was down receives later
 
 /// A node that follows this one.
 struct FollowerEntry {
     WireSource source;
     uint64_t revision = 0; // that it has, or was sent
+    bool unpacks = false;
     TimePoint askedAt{};
+    TimePoint inTransitUntil{}; // what it was sent may not have arrived before
 };
 
+size_t bytesOf(const StoreNews &news)
+{
+    size_t out = 0;
+    for (const StoreChange &it : news.changes) {
+        out += it.key.size() + (it.value ? it.value->size() : 0);
+    }
+    for (const PackedChange &it : news.packed) {
+        out += it.value.bytes.size();
+    }
+    return out;
+}
+
 std::string peerAddress(std::string_view endpoint)
 {
     return "tcp://" + std::string(endpoint);
@@ -35,10 +50,12 @@
     State(Clock &clockIn, Metrics &metricsIn, const NeighbourOptions &optionsIn, NeighbourHooks hooksIn);
 
     void receive(const WireSource &source, const Message &message);
-    void answer(const WireSource &source, const FollowRequest &request);
+    void answer(const WireSource &source, const FollowRequest &asked);
     std::string endpoint() const;
     size_t maxBytes(size_t receivers) const;
-    size_t addFollower(const WireSource &source, const FollowRequest &request, std::string &relay);
+    size_t addFollower(const WireSource &source, FollowRequest &request, std::string &relay);
+    void noteSent(const WireSource &source, const StoreNews &news, size_t receivers);
+    Duration transitTime(size_t bytes, size_t receivers) const;
     void removeSilentFollowers(TimePoint now);
     Message messageOf(MessageBody body) const;
 
@@ -91,15 +108,37 @@
     }
 }
 
-void Neighbours::State::answer(const WireSource &source, const FollowRequest &request)
+void Neighbours::State::answer(const WireSource &source, const FollowRequest &asked)
 {
     std::string relay;
+    FollowRequest request = asked;
     const size_t receivers = request.follows ? addFollower(source, request, relay) : 1;
     StoreNews news = hooks.news(request, maxBytes(receivers));
     news.relay = std::move(relay);
     if (!wire.reply(source, messageOf(news))) {
         metrics.countCode("damask_wire_refusals_total", Code::QueueFull);
+    } else if (request.follows) {
+        noteSent(source, news, receivers);
+    }
+}
+
+/// Estimated until a message of this size has arrived, when all receivers are sent one at once.
+Duration Neighbours::State::transitTime(size_t bytes, size_t receivers) const
+{
+    const double total = static_cast<double>(bytes) * static_cast<double>(std::max<size_t>(receivers, 1));
+    const double seconds = TransitSafety * total / static_cast<double>(std::max<size_t>(options.linkBytesPerSecond, 1));
+    return std::min(fromMilliseconds(1000 * seconds), options.followerTimeout);
+}
+
+void Neighbours::State::noteSent(const WireSource &source, const StoreNews &news, size_t receivers)
+{
+    LockGuard lock(mutex);
+    const auto it = followers.find(source.routingId);
+    if (it == followers.end() || !news.whole || news.revision <= it->second.revision) {
+        return;
     }
+    it->second.revision = news.revision;
+    it->second.inTransitUntil = clock.now() + transitTime(bytesOf(news), receivers);
 }
 
 size_t Neighbours::State::maxBytes(size_t receivers) const
@@ -114,14 +153,23 @@
     return wire.address(0).substr(peerAddress("").size());
 }
 
-/// Returns the number of followers, including this one, and sets the endpoint that it should follow instead.
-size_t Neighbours::State::addFollower(const WireSource &source, const FollowRequest &request, std::string &relay)
+/// Returns the number of followers, including this one, and sets the endpoint that it should follow instead. Changes
+/// that are on their way to the follower are not sent again: messages arrive in order, so the answer may begin after
+/// them.
+size_t Neighbours::State::addFollower(const WireSource &source, FollowRequest &request, std::string &relay)
 {
     const TimePoint now = clock.now();
     LockGuard lock(mutex);
     removeSilentFollowers(now);
     const bool isNew = !followers.contains(source.routingId);
-    followers[source.routingId] = {source, request.revision, now};
+    FollowerEntry &entry = followers[source.routingId];
+    if (now < entry.inTransitUntil) {
+        request.revision = std::max(request.revision, entry.revision);
+    }
+    entry.source = source;
+    entry.revision = request.revision;
+    entry.unpacks = request.unpacks;
+    entry.askedAt = now;
     relay = relays.recordRequest(request, now);
     if (isNew) {
         logEvent(
@@ -193,20 +241,16 @@
     }
     const size_t maxNewsBytes = m_state->maxBytes(all.size());
     for (const FollowerEntry &it : all) {
-        const StoreNews news =
-            m_state->hooks.news({.number = 0, .revision = it.revision, .follows = true}, maxNewsBytes);
-        if (news.whole && news.changes.empty()) {
+        const StoreNews news = m_state->hooks.news(
+            {.number = 0, .revision = it.revision, .follows = true, .unpacks = it.unpacks}, maxNewsBytes);
+        if (news.whole && news.changes.empty() && news.packed.empty()) {
             continue; // it has all changes already
         }
         if (!m_state->wire.reply(it.source, m_state->messageOf(news))) {
             m_state->metrics.countCode("damask_wire_refusals_total", Code::QueueFull);
             continue;
         }
-        LockGuard lock(m_state->mutex);
-        const auto follower = m_state->followers.find(it.source.routingId);
-        if (follower != m_state->followers.end()) {
-            follower->second.revision = std::max(follower->second.revision, news.revision);
-        }
+        m_state->noteSent(it.source, news, all.size());
     }
 }
 
--- a/src/programs/damask-node/node_options.cpp
+++ b/src/programs/damask-node/node_options.cpp
@@ -35,9 +35,10 @@
 constexpr double StaleAfterShareOfBound = 0.55;      // age of the data at which a node polls the store
 constexpr double SeedStaleAfterShareOfBound = 0.45;  // the same for a seed, to be up to date before followers poll
 constexpr double MinBackoffShareOfBound = 0.2;       // of a node that is no seed; seeds poll the store more often
-constexpr double MaxBackoffShareOfBound = 0.25;      // targets that left during an outage are in use until its end is seen
-constexpr double RetentionShareOfBound = 2.5; // of changes for followers; well above the age of any news
+constexpr double MaxBackoffShareOfBound = 0.25; // targets that left during an outage are in use until its end is seen
+constexpr double RetentionShareOfBound = 2.5;   // of changes for followers; well above the age of any news
 constexpr double BytesPerMegabit = 125000;
+constexpr double StoreShareOfLink = 0.125; // least rate of a reply of the store, as a share of the link's capacity
 constexpr Duration TrustedReportAge = std::chrono::milliseconds(100);
 
 constexpr auto Specs = std::to_array<SettingSpec>({
@@ -90,7 +91,8 @@
     {"store", "endpoint", SettingType::Text, "127.0.0.1:2379", "IP address and port of the platform's store."},
     {"store", "connect-timeout", SettingType::Interval, "300 ms", "Timeout for connecting to the store.", 10, 600000},
     {"store", "call-timeout", SettingType::Interval, "1 s",
-     "Timeout for a call, on top of the time that a long poll waits.", 10, 600000},
+     "Timeout for a reply to begin, on top of the time that a long poll waits, and between two parts of it.", 10,
+     600000},
     {"store", "lapse-hold", SettingType::Interval, "1900 ms",
      "Time after an outage of the store for targets with expired entries to register again.", 0, 600000},
     {"nodes", "endpoint", SettingType::Text, "",
@@ -260,6 +262,7 @@
     out.queueLimit = countOf(settings, "route", "queue");
     out.store.connectTimeout = settings.interval("store", "connect-timeout");
     out.store.callTimeout = settings.interval("store", "call-timeout");
+    out.store.minBytesPerSecond = settings.fraction("instance", "link") * BytesPerMegabit * StoreShareOfLink;
     out.operate.token = settings.secret("operate", "token");
     out.readiness.threads = 1;
     out.operate.threads = 1;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -96,7 +96,8 @@
         client.set_socket_options([](socket_t it) { setKeepAlive(it); });
     }
 
-    /// One exchange over a new connection. The whole reply must arrive within `timeout` after the connection is open.
+    /// One exchange over a new connection. The reply must begin within `timeout` after the connection is open, and
+    /// arrive at the least rate without a pause of callTimeout: a large one takes long on a slow link.
     Result<StoreReply> exchange(const StoreCall &call, CallKind kind, Duration timeout, CancelToken *cancel)
     {
         auto opened = Connection::open(options.address, options.port, options.connectTimeout);
@@ -112,6 +113,8 @@
                                                   .head = head,
                                                   .body = call.body,
                                                   .deadline = clock.now() + timeout,
+                                                  .bytesPerSecond = options.minBytesPerSecond,
+                                                  .maxSilence = options.callTimeout,
                                                   .maxResponseBytes = MaxReplyBytes,
                                                   .closeEndsBody = true});
         if (cancel != nullptr) {
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -26,10 +26,11 @@
 namespace damask {
 
 struct StoreOptions {
-    std::string address = "127.0.0.1";                       // IP address
-    uint16_t    port = 2379;                                 // TCP
-    Duration    connectTimeout = std::chrono::seconds(1);    // to establish a connection
-    Duration    callTimeout = std::chrono::seconds(2);       // of a whole call
+    std::string address = "127.0.0.1";                    // IP address
+    uint16_t    port = 2379;                              // TCP
+    Duration    connectTimeout = std::chrono::seconds(1); // to establish a connection
+    Duration    callTimeout = std::chrono::seconds(2);    // until a reply begins, and between two parts of it
+    double      minBytesPerSecond = 125000; // a large reply may take as long as at this rate, on top of callTimeout
     Duration    watchIdleTimeout = std::chrono::seconds(15); // a watch without any message for this long ends
     size_t      maxValueBytes = 1000 * 1000;                 // of one value
 };
--- a/src/wire/message.cpp
+++ b/src/wire/message.cpp
@@ -91,6 +91,7 @@
     to.mutable_follow()->set_endpoint(from.endpoint);
     to.mutable_follow()->set_data_centre(from.dataCentre);
     to.mutable_follow()->set_link_bytes_per_second(from.linkBytesPerSecond);
+    to.mutable_follow()->set_unpacks(from.unpacks);
 }
 
 void write(const StoreNews &from, pb::Envelope &to)
@@ -111,6 +112,15 @@
         change.set_removed(!it.value.has_value());
         change.set_revision(it.revision);
     }
+    for (const PackedChange &it : from.packed) {
+        pb::PackedChange &change = *news.add_packed();
+        change.set_key(it.key);
+        change.set_frame(it.value.bytes);
+        change.set_size(it.value.size);
+        change.set_digest(it.value.digest);
+        change.set_base(it.base);
+        change.set_revision(it.revision);
+    }
 }
 
 Result<MessageBody> readOffer(const pb::ConfigurationOffer &from)
@@ -207,12 +217,28 @@
                          .follows = from.follows(),
                          .endpoint = from.endpoint(),
                          .dataCentre = from.data_centre(),
-                         .linkBytesPerSecond = from.link_bytes_per_second()};
+                         .linkBytesPerSecond = from.link_bytes_per_second(),
+                         .unpacks = from.unpacks()};
+}
+
+Result<PackedChange> readPackedChange(const pb::PackedChange &from, uint64_t latestRevision)
+{
+    if (const auto checked = checkText(from.key(), MaxNameBytes, "store_news.packed.key"); !checked) {
+        return tl::make_unexpected(checked.error());
+    }
+    if (from.size() > MaxPackedValueBytes || from.revision() > latestRevision || from.base() >= from.revision()) {
+        return fail(Code::BadMessage, "store_news.packed: a field is out of range");
+    }
+    return PackedChange{.key = from.key(),
+                        .value = {from.frame(), from.size(), from.digest()},
+                        .base = from.base(),
+                        .revision = from.revision()};
 }
 
 Result<MessageBody> readStoreNews(const pb::StoreNews &from)
 {
-    if (from.changes_size() > MaxItems || from.age_us() > MaxAgeMicroseconds || from.hops() > MaxHops) {
+    if (from.changes_size() > MaxItems || from.packed_size() > MaxItems || from.age_us() > MaxAgeMicroseconds
+        || from.hops() > MaxHops) {
         return fail(Code::BadMessage, "store_news: a field is out of range");
     }
     if (const auto checked = checkText(from.relay(), MaxNameBytes, "store_news.relay"); !checked) {
@@ -226,6 +252,7 @@
                   .whole = from.whole(),
                   .more = from.more(),
                   .changes = {},
+                  .packed = {},
                   .relay = from.relay()};
     for (const pb::StoreChange &it : from.changes()) {
         if (const auto checked = checkText(it.key(), MaxNameBytes, "store_news.key"); !checked) {
@@ -236,6 +263,13 @@
         }
         out.changes.push_back({it.key(), it.removed() ? std::nullopt : std::optional(it.value()), it.revision()});
     }
+    for (const pb::PackedChange &it : from.packed()) {
+        auto change = readPackedChange(it, from.revision());
+        if (!change) {
+            return tl::make_unexpected(change.error());
+        }
+        out.packed.push_back(std::move(*change));
+    }
     return out;
 }
 
--- a/tests/fakes/platform_values.h
+++ b/tests/fakes/platform_values.h
@@ -17,6 +17,20 @@
              R"({"name":"s2","healthPath":"/h","maxConns":9}]})";
 }
 
+/// A configuration with further rules of other hosts, as when many routes have been added.
+inline std::string largeConfiguration(std::string_view version, std::string_view service, int extraRules)
+{
+    std::string out = configuration(version, service);
+    std::string rules;
+    for (int n = 0; n < extraRules; ++n) {
+        const std::string name = std::to_string(n * 2654435761U);
+        rules += R"({"name":"x)" + name + R"(","kind":"safe","targetLatencyMs":250,"priority":1,"match":{"prefix":"/)"
+                 + name + R"(/"},"action":{"service":"s1","timeoutMs":800,"maxAttempts":2}},)";
+    }
+    out.insert(out.find(R"({"name":"r")"), rules);
+    return out;
+}
+
 inline std::string worker(std::string_view state, int sequence)
 {
     return R"({"service":"s1","address":"10.0.0.9:80","zone":"z","slots":6,"state":")" + std::string(state)
--- a/tests/platform/test_news.cpp
+++ b/tests/platform/test_news.cpp
@@ -4,6 +4,7 @@
 #include "fakes/platform_values.h"
 #include "follow/follower.h"
 #include "platform/platform.h"
+#include "wire/message.h"
 
 #include <atomic>
 #include <criterion/criterion.h>
@@ -126,21 +127,29 @@
             knownRevision = it.request.revision;
             StoreNews news = seed.follower->news(it.request, maxBytes);
             news.relay = namesRelay ? "relay" : "";
+            count(news);
             other.follower->receive(std::move(news));
         }
     }
     void pushUpdate()
     {
         if (!disconnected) {
-            other.follower->receive(seed.follower->news({.revision = knownRevision, .follows = true}, maxBytes));
+            StoreNews news = seed.follower->news({.revision = knownRevision, .follows = true}, maxBytes);
+            count(news);
+            other.follower->receive(std::move(news));
         }
     }
+    void count(const StoreNews &news)
+    {
+        sentBytes += encodeMessage({.sender = "seed", .body = news}).size();
+    }
 
     std::atomic<bool> disconnected{false};
     std::atomic<bool> namesRelay{false}; // the seed names one, which passes on what the seed has
     std::atomic<bool> relayAnswers{true};
     std::atomic<size_t> maxBytes{DefaultMaxBytes};
     std::atomic<uint64_t> knownRevision{0};
+    std::atomic<size_t> sentBytes{0};
     Node seed;
     Node other;
 };
@@ -248,6 +257,53 @@
     cr_assert(eventually([&] { return it.other.targets() == 399; }));
 }
 
+// CONFIG: each version of a large configuration travelled whole, and took slow links longer than it may.
+Test(news, a_large_configuration_travels_as_what_changed)
+{
+    constexpr int Rules = 5000;
+    SeedAndFollower it;
+    const int before = it.other.fake.calls();
+    const auto update = [&](std::string_view version, std::string_view service, int rules) {
+        const std::string value = largeConfiguration(version, service, rules);
+        it.sentBytes = 0;
+        it.put("op/config", value);
+        cr_assert(eventually([&] { return it.other.service() == service; }));
+        return static_cast<double>(it.sentBytes) / static_cast<double>(value.size());
+    };
+    const double first = update("00000006", "s2", Rules);
+    cr_assert(first < 0.5, "%.3f of the value", first);
+    const double second = update("00000007", "s1", Rules + 100);
+    cr_assert(second < 0.1, "%.3f of the value", second);
+    cr_assert(it.other.fake.calls() == before, "%d calls", it.other.fake.calls() - before);
+}
+
+Test(news, a_node_of_an_earlier_version_gets_the_configuration_unpacked)
+{
+    SeedAndFollower it;
+    int version = 10;
+    cr_assert(eventually([&] { // the log drops old changes
+        const std::string value = largeConfiguration("000000" + std::to_string(++version), "s2", 100);
+        it.put("op/config", value);
+        const StoreNews news =
+            it.seed.follower->news({.revision = 3, .follows = true, .unpacks = false}, DefaultMaxBytes);
+        return news.whole && news.packed.empty() && news.changes.size() == 1
+               && news.changes.front().value->size() > value.size() / 2;
+    }));
+}
+
+Test(news, a_packed_configuration_that_cannot_be_read_is_read_from_the_store)
+{
+    SeedAndFollower it;
+    StoreNews bad{.from = 0, .revision = 100};
+    bad.packed.push_back({.key = "op/config", .value = {.bytes = "nonsense", .size = 9}, .base = 99, .revision = 100});
+    it.other.follower->receive(bad);
+    cr_assert(eventually([&] {
+        return it.other.metrics.counter("damask_packed_changes_refused_total", {{"code", "BadMessage"}}).Value() == 1;
+    }));
+    it.put("op/config", configuration("0000000c", "s2"));
+    cr_assert(eventually([&] { return it.other.service() == "s2"; }), "it follows on");
+}
+
 Test(news, followers_also_hold_entries_that_expired_during_an_outage)
 {
     SeedAndFollower it;
--- a/tests/programs/test_neighbours.cpp
+++ b/tests/programs/test_neighbours.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr size_t ValueBytes = 500'000;
+
 /// The neighbours of one node, and the relay that the last answer named.
 struct Node {
     explicit Node(std::string_view name, std::string_view dataCentre, double linkMbps = 20)
@@ -18,7 +20,7 @@
                       .dataCentre = std::string(dataCentre),
                       .address = "127.0.0.1",
                       .linkBytesPerSecond = static_cast<size_t>(linkMbps * 125000)},
-                     {.news = [](const FollowRequest &request, size_t) { return StoreNews{.number = request.number}; },
+                     {.news = [this](const FollowRequest &request, size_t) { return newsFor(request); },
                       .newsReceived =
                           [this](StoreNews news) {
                               LockGuard lock(mutex);
@@ -28,6 +30,17 @@
     {
         cr_assert(neighbours.start().has_value());
     }
+    /// One large change after each revision below `revision`.
+    StoreNews newsFor(const FollowRequest &request)
+    {
+        LockGuard lock(mutex);
+        StoreNews out{.number = request.number, .from = request.revision, .revision = revision};
+        if (request.revision < revision) {
+            out.changes.push_back({"k", std::string(ValueBytes, 'x'), revision});
+            ++valuesSent;
+        }
+        return out;
+    }
     std::string endpoint() const
     {
         return "127.0.0.1:" + std::to_string(neighbours.port());
@@ -49,6 +62,8 @@
     Metrics metrics;
     RankedMutex mutex{LockRank::Leaf};
     std::string relay;
+    uint64_t revision = 0; // of the store, as this node knows it
+    int valuesSent = 0;
     uint64_t asked = 0;
     uint64_t answered = 0;
     Neighbours neighbours; // stops before what its hooks use
@@ -85,3 +100,26 @@
     follower.ask(source.endpoint());
     cr_assert(follower.isAnswered());
 }
+
+// CONFIG: a large change that was still on its way to a follower was sent again with each answer.
+Test(neighbours, a_change_in_transit_is_not_sent_again)
+{
+    Node source("source", "a", 1); // 1 Mbit/s: the change takes 4 s
+    Node follower("follower", "b");
+    source.clock.pause();
+    source.revision = 7;
+    for (int n = 0; n < 3; ++n) {
+        follower.ask(source.endpoint());
+        cr_assert(follower.isAnswered());
+    }
+    cr_assert(source.valuesSent == 1, "%d values", source.valuesSent);
+    source.neighbours.notifyFollowers();
+    cr_assert(source.valuesSent == 1);
+    source.clock.advance(1s - 1ms); // followerTimeout
+    follower.ask(source.endpoint());
+    cr_assert(follower.isAnswered() && source.valuesSent == 1);
+    source.clock.advance(1ms);
+    follower.ask(source.endpoint());
+    cr_assert(follower.isAnswered() && source.valuesSent == 2,
+              "it must have been lost: the follower still asks for it");
+}
