Bound the messages of other nodes that wait to be read

ZeroMQ keeps 1,000 messages of a connection that are not read yet, of 2 MB each here. A node that sends without end could so fill the memory of another. Now 64 are kept, 8 between nodes, and the sender waits.

node::messages_that_are_not_read_yet_are_bounded. Not run on the code before, whose option did not exist.

--- a/src/programs/damask-node/neighbours.cpp
+++ b/src/programs/damask-node/neighbours.cpp
@@ -17,6 +17,7 @@
 constexpr size_t MinNewsBytes = 1024;        // allowed in an answer even on the slowest link
 constexpr double TransitSafety = 2;          // the link carries callers' traffic besides
 constexpr size_t SendQueueLimit = 8; // messages queued per connection; bounds what a seed that was down receives later
+constexpr size_t ReceiveQueueLimit = 8; // messages of one connection that wait to be read; bounds memory
 
 /// A node that follows this one.
 struct FollowerEntry {
@@ -83,7 +84,8 @@
                                        + (optionsIn.port == 0 ? "*" : std::to_string(optionsIn.port))),
                            "peer",
                            {}}},
-            .sendLimit = SendQueueLimit},
+            .sendLimit = SendQueueLimit,
+            .receiveLimit = ReceiveQueueLimit},
            {.receive = [this](const WireSource &source, const Message &message) {
                receive(source, message);
            }})
--- a/src/wire/node.cpp
+++ b/src/wire/node.cpp
@@ -45,6 +45,7 @@
     const int heartbeat = static_cast<int>(toMilliseconds(options.heartbeat));
     socket.set(zmq::sockopt::linger, StopLinger);
     socket.set(zmq::sockopt::sndhwm, static_cast<int>(options.sendLimit));
+    socket.set(zmq::sockopt::rcvhwm, static_cast<int>(options.receiveLimit));
     socket.set(zmq::sockopt::maxmsgsize, static_cast<int64_t>(MaxMessageBytes));
     socket.set(zmq::sockopt::heartbeat_ivl, heartbeat);
     socket.set(zmq::sockopt::heartbeat_timeout, 2 * heartbeat);
--- a/src/wire/node.h
+++ b/src/wire/node.h
@@ -48,6 +48,7 @@
     size_t                    maxConnections = 64; // outgoing; at the limit, the least recently used one is closed
     size_t                    outboxLimit = 4096;  // messages queued for the thread
     size_t                    sendLimit = 64;      // messages queued for one connection
+    size_t                    receiveLimit = 64; // messages of one connection that wait to be read; then it is not read
     Duration                  heartbeat = std::chrono::seconds(2); // interval; detects dead connections
 };
 
--- a/tests/wire/test_node.cpp
+++ b/tests/wire/test_node.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <zmq.hpp>
 
 using namespace damask;
 
@@ -134,3 +135,46 @@
     keys.replace(std::vector<PeerKey>{{"summer", 2, summer.publicKey, true}, {"autumn", 1, autumn.publicKey, false}});
     cr_assert(activeSlot(keys, autumn, summer) == autumn);
 }
+
+// Messages of a node that sends without end were kept until memory ran out, up to 1,000 of 2 MB for each connection.
+Test(node, messages_that_are_not_read_yet_are_bounded)
+{
+    constexpr size_t Limit = 8;
+    constexpr size_t ValueBytes = 1024 * 1024;
+    constexpr size_t Sent = 200;
+    constexpr size_t InTransit = 40; // MB that sockets and the sender may hold
+    Clock clock;
+    Metrics metrics;
+    RankedMutex mutex{LockRank::Leaf};
+    Condition changed(clock);
+    bool reads = false;
+    WireNode node(clock, metrics,
+                  {.name = "receiver", .listeners = {{"tcp://127.0.0.1:*", "peer", {}}}, .receiveLimit = Limit},
+                  {.receive = [&](const WireSource &, const Message &) {
+                      LockGuard lock(mutex);
+                      while (!reads) {
+                          changed.wait(lock);
+                      }
+                  }});
+    cr_assert(node.start().has_value());
+    StoreNews news{.revision = 1};
+    news.changes.push_back({"k", std::string(ValueBytes, 'x'), 1});
+    const std::string bytes = encodeMessage({.sender = "flood", .body = news});
+    zmq::context_t context;
+    zmq::socket_t socket(context, zmq::socket_type::dealer);
+    socket.set(zmq::sockopt::sndhwm, 1);
+    socket.set(zmq::sockopt::sndtimeo, 1000);
+    socket.set(zmq::sockopt::linger, 0);
+    socket.connect(node.address(0));
+    size_t taken = 0;
+    while (taken < Sent && socket.send(zmq::buffer(bytes))) {
+        ++taken;
+    }
+    cr_assert(taken >= Limit && taken <= Limit + InTransit, "%zu messages", taken);
+    {
+        LockGuard lock(mutex);
+        reads = true;
+        changed.notifyAll();
+    }
+    cr_assert(socket.send(zmq::buffer(bytes)).has_value(), "it reads on");
+}
