--- a/tests/fakes/call_path.h
+++ b/tests/fakes/call_path.h
@@ -25,7 +25,8 @@
         , front(
               clock, metrics, options,
               [this](const CallRequest &call, CancelToken &cancel) { return dispatcher.dispatch(call, cancel); },
-              platform::callerForm(), [this](const CallRequest &call) { return dispatcher.streamsBody(call); })
+              platform::callerForm(), [this](const CallRequest &call) { return dispatcher.streamsBody(call); },
+              [](const CallRequest &call) { return call.method == "GET"; })
     {
         const auto inForce = std::make_shared<Configuration>(configuration);
         balancer.apply(inForce);
