Store: events of a broken reply to a watch take no effect

What operators would see: a keeper takes a configuration from a reply with status 000, 404 or 500, or with a blank or a control byte in the name of a field. Seen in the test alone; nodes on the users' platform do not use this watch.

Cause: the watch was the one call to the store that the client of cpp-httplib read. It accepts such heads, and the status was not looked at.

Change: the watch goes through damask::exchange() as well, which hands the body on in parts once the head has been checked. Its idle limit holds until the first byte too (maxStart).

Not run: a keeper against a real etcd.

--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -133,7 +133,7 @@
             extends ? fromMilliseconds(1000 * static_cast<double>(m_received) / m_request.bytesPerSecond)
                     : Duration::zero();
         const Duration left = m_request.deadline - m_clock.now() + earned;
-        return m_received > 0 ? std::min(left, m_request.maxSilence) : left;
+        return std::min(left, m_received > 0 ? m_request.maxSilence : m_request.maxStart);
     }
     void recordBytes(std::string_view bytes)
     {
@@ -202,7 +202,7 @@
     if (out.framing == BodyFraming::ByClose && !request.closeEndsBody) {
         return Code::BadAnswer;
     }
-    const bool large = out.framing == BodyFraming::Length && out.length > request.maxResponseBytes;
+    const bool large = !request.consume && out.framing == BodyFraming::Length && out.length > request.maxResponseBytes;
     return large ? Code::AnswerTooLarge : Code::Ok;
 }
 
@@ -240,6 +240,7 @@
 {
     Code code = Code::Ok;
     bool headChecked = false;
+    uint64_t bodyBytes = 0;
     httplib::Request libraryRequest;
     libraryRequest.method = request.method;
     libraryRequest.path = "/";
@@ -249,7 +250,12 @@
         return code == Code::Ok && out.head.framing != BodyFraming::None;
     };
     libraryRequest.content_receiver = [&](const char *bytes, size_t n, uint64_t, uint64_t) {
-        if (!appendToBody(out.body, {bytes, n}, request)) {
+        bodyBytes += n;
+        if (request.consume && !request.consume(out.head, {bytes, n})) {
+            code = Code::Cancelled;
+            return false;
+        }
+        if (!request.consume && !appendToBody(out.body, {bytes, n}, request)) {
             code = Code::AnswerTooLarge;
             return false;
         }
@@ -272,8 +278,7 @@
     if (!complete) {
         return stream.code() == Code::Ok ? Code::BadAnswer : stream.code();
     }
-    const bool ended =
-        out.head.framing == BodyFraming::Chunked ? stream.lastChunkRead() : out.body.size() == out.head.length;
+    const bool ended = out.head.framing == BodyFraming::Chunked ? stream.lastChunkRead() : bodyBytes == out.head.length;
     return ended ? Code::Ok : Code::BadAnswer;
 }
 
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -25,6 +25,7 @@
     BodyStream      *stream = nullptr;   // sent instead of `body`, in chunks if its length is unknown
     TimePoint        deadline = Never;   // for the complete response
     double           bytesPerSecond = 0; // each byte received extends the deadline by its time at this rate; 0: not
+    Duration         maxStart = Duration::max();   // until the first byte of a response
     Duration         maxSilence = Duration::max(); // between two parts of the response, after its first byte
     size_t           maxResponseBytes = 0;         // of the body
     bool             closeEndsBody = false;        // accept a body without a length that ends with a clean close
@@ -34,6 +35,10 @@
     /// meanwhile.
     std::function<bool(size_t bytes)> reserve = {};
 
+    /// Receives the body in parts, as it arrives, instead of ExchangeResult::body; maxResponseBytes and reserve do not
+    /// apply then. The head has been checked before. False ends the exchange with Cancelled.
+    std::function<bool(const ResponseHead &, std::string_view part)> consume = {};
+
     /// Whether a complete response answers an earlier request. It is discarded, and the next one is read, up to
     /// MaxSkippedResponses; the connection is not reusable then.
     std::function<bool(const ResponseHead &)> skips = {};
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -6,10 +6,10 @@
 
 #include <algorithm>
 #include <atomic>
-#include <httplib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace damask {
 
@@ -55,18 +55,6 @@
     return out + "\r\n";
 }
 
-httplib::Request toHttpRequest(const StoreCall &call)
-{
-    httplib::Request out;
-    out.method = call.method;
-    out.path = call.path;
-    if (!call.body.empty()) {
-        out.set_header("Content-Type", "application/json");
-        out.body = call.body;
-    }
-    return out;
-}
-
 } // namespace
 
 struct StoreClient::State {
@@ -85,23 +73,11 @@
     {
     }
 
-    void configure(httplib::Client &client, Duration readTimeout) const
-    {
-        const auto toMicroseconds = [](Duration it) {
-            return std::chrono::duration_cast<std::chrono::microseconds>(it);
-        };
-        client.set_connection_timeout(toMicroseconds(options.connectTimeout));
-        client.set_read_timeout(toMicroseconds(readTimeout));
-        client.set_write_timeout(toMicroseconds(options.callTimeout));
-        client.set_tcp_nodelay(true);
-        client.set_url_encode(false);
-        client.set_socket_options([](socket_t it) { setKeepAlive(it); });
-    }
-
-    /// One exchange over a new connection. The reply must begin within `timeout` after the connection is open, and
-    /// arrive at the least rate without a pause of callTimeout: a large one takes long on a slow link.
-    Result<StoreReply> exchange(const StoreCall &call, CallKind kind, Duration timeout, CancelToken *cancel,
-                                size_t maxBytes)
+    /// Sends the call over a new connection and reads the reply within the limits of `request`, whose deadline is
+    /// `timeout` after the connection is open (Duration::max(): none). StoreUnavailable: nothing was sent. Cancelled by
+    /// the token, if there is one.
+    Result<ExchangeResult> run(const StoreCall &call, ExchangeRequest request, Duration timeout,
+                               CancelToken *cancel) const
     {
         auto opened = Connection::open(options.address, options.port, options.connectTimeout);
         if (!opened) {
@@ -111,30 +87,43 @@
         setKeepAlive(connection->descriptor());
         const uint64_t callbackId = cancel == nullptr ? 0 : cancel->onCancel([connection] { connection->interrupt(); });
         const std::string head = requestHead(call, options);
-        ExchangeResult result = damask::exchange(*connection, clock,
-                                                 {.method = call.method,
-                                                  .head = head,
-                                                  .body = call.body,
-                                                  .deadline = clock.now() + timeout,
-                                                  .bytesPerSecond = options.minBytesPerSecond,
-                                                  .maxSilence = options.callTimeout,
-                                                  .maxResponseBytes = maxBytes,
-                                                  .closeEndsBody = true});
+        request.method = call.method;
+        request.head = head;
+        request.body = call.body;
+        request.deadline = timeout == Duration::max() ? Never : clock.now() + timeout;
+        request.closeEndsBody = true;
+        ExchangeResult result = damask::exchange(*connection, clock, request);
         if (cancel != nullptr) {
             cancel->removeCallback(callbackId);
             if (cancel->cancelled()) {
                 return fail(Code::Cancelled, "the call was cancelled locally");
             }
         }
+        return result;
+    }
+
+    /// One exchange over a new connection. The reply must begin within `timeout` after the connection is open, and
+    /// arrive at the least rate without a pause of callTimeout: a large one takes long on a slow link.
+    Result<StoreReply> exchange(const StoreCall &call, CallKind kind, Duration timeout, CancelToken *cancel,
+                                size_t maxBytes) const
+    {
+        auto result = run(call,
+                          {.bytesPerSecond = options.minBytesPerSecond,
+                           .maxSilence = options.callTimeout,
+                           .maxResponseBytes = maxBytes},
+                          timeout, cancel);
+        if (!result) {
+            return tl::make_unexpected(result.error());
+        }
         const bool isPoll = cancel != nullptr; // no other call can be cancelled
-        if (result.code == Code::AnswerTooLarge && isPoll) {
+        if (result->code == Code::AnswerTooLarge && isPoll) {
             return fail(Code::StoreHistoryLarge, "more than " + std::to_string(maxBytes) + " bytes");
         }
-        if (result.code != Code::Ok) {
-            const bool unknown = kind == CallKind::Write && result.bytesSent > 0;
-            return fail(unknown ? Code::StoreUnknown : Code::StoreUnavailable, codeName(result.code));
+        if (result->code != Code::Ok) {
+            const bool unknown = kind == CallKind::Write && result->bytesSent > 0;
+            return fail(unknown ? Code::StoreUnknown : Code::StoreUnavailable, codeName(result->code));
         }
-        return StoreReply{result.head.status, std::move(result.body)};
+        return StoreReply{result->head.status, std::move(result->body)};
     }
 
     /// Passes on replies that the protocol has to decode: the store executed the call, or understood and refused it.
@@ -308,31 +297,40 @@
 
 Result<void> StoreClient::watch(const StoreWatch &watch, CancelToken &cancel)
 {
-    httplib::Client client(m_state->options.address, m_state->options.port);
-    m_state->configure(client, m_state->options.watchIdleTimeout);
+    State &s = *m_state;
     Result<void> outcome = fail(Code::StoreUnavailable, "the watch ended");
     std::string pending;
-    httplib::Request request = toHttpRequest(m_state->protocol.watch(watch));
-    request.content_receiver = [&](const char *data, size_t n, uint64_t, uint64_t) {
-        pending.append(data, n);
-        for (size_t end = pending.find('\n'); end != std::string::npos; end = pending.find('\n')) {
-            const std::string line = pending.substr(0, end);
-            pending.erase(0, end + 1);
-            if (!line.empty() && !m_state->handleWatchLine(line, watch, outcome)) {
+    const auto consume = [&](const ResponseHead &head, std::string_view part) {
+        if (head.status != HttpOk) {
+            outcome = fail(Code::StoreUnavailable, "HTTP status " + std::to_string(head.status));
+            return false;
+        }
+        for (size_t end = part.find('\n'); end != std::string_view::npos; end = part.find('\n')) {
+            pending.append(part.substr(0, end));
+            part.remove_prefix(end + 1);
+            const std::string line = std::exchange(pending, {});
+            if (!line.empty() && !s.handleWatchLine(line, watch, outcome)) {
                 return false;
             }
         }
+        pending.append(part);
         return pending.size() <= MaxReplyBytes && !cancel.cancelled();
     };
-    m_state->metrics.count("damask_store_calls_total", {{"call", "watch"}, {"code", codeName(Code::Ok)}});
-    const uint64_t id = cancel.onCancel([&client] { client.stop(); });
-    const auto result = client.send(request);
-    cancel.removeCallback(id);
+    s.metrics.count("damask_store_calls_total", {{"call", "watch"}, {"code", codeName(Code::Ok)}});
+    const Duration idle = s.options.watchIdleTimeout;
+    const auto result = s.run(s.protocol.watch(watch), {.maxStart = idle, .maxSilence = idle, .consume = consume},
+                              Duration::max(), &cancel);
     if (cancel.cancelled()) {
         return fail(Code::Cancelled, watch.key);
     }
-    m_state->reachable = false;
-    m_state->metrics.countCode("damask_store_watch_ends_total", outcome.error().code);
+    const bool endedByConsume = result && result->code == Code::Cancelled;
+    if (!result) {
+        outcome = tl::make_unexpected(result.error());
+    } else if (result->code != Code::Ok && !endedByConsume) {
+        outcome = fail(Code::StoreUnavailable, codeName(result->code));
+    }
+    s.reachable = false;
+    s.metrics.countCode("damask_store_watch_ends_total", outcome.error().code);
     return outcome;
 }
 
