Damaskctl: broken responses of the own processes are no results

What operators would see: damaskctl prints what it read, or reports a ticket as submitted, although the response has status 000, an odd name of a field, a length that is no number, or a chunk with a wrong end. Seen in tests alone.

Cause: the client of cpp-httplib read these responses; it accepts such heads and some malformed chunked bodies.

Change: damaskctl reads with damask::exchange(), as nodes read workers. A broken response to a POST is StoreUnknown, to a GET PeerUnavailable, as for one that is lost. The library also connected to IPv6 addresses, which operators' ports may have, so Connection does so now. A response may have 64 MB, begins within 20 s and arrives at 10 kB/s or more.

--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -28,12 +28,26 @@
     return out;
 }
 
-Result<sockaddr_in> toSocketAddress(std::string_view address, uint16_t port)
-{
-    sockaddr_in out{};
-    out.sin_family = AF_INET;
-    out.sin_port = htons(port);
-    if (inet_pton(AF_INET, std::string(address).c_str(), &out.sin_addr) != 1) {
+struct SocketAddress {
+    sockaddr_storage storage{};
+    socklen_t size = 0;
+};
+
+Result<SocketAddress> toSocketAddress(std::string_view address, uint16_t port)
+{
+    const std::string terminated(address);
+    SocketAddress out;
+    auto &ipv4 = reinterpret_cast<sockaddr_in &>(out.storage);
+    auto &ipv6 = reinterpret_cast<sockaddr_in6 &>(out.storage);
+    if (inet_pton(AF_INET, terminated.c_str(), &ipv4.sin_addr) == 1) {
+        ipv4.sin_family = AF_INET;
+        ipv4.sin_port = htons(port);
+        out.size = sizeof ipv4;
+    } else if (inet_pton(AF_INET6, terminated.c_str(), &ipv6.sin6_addr) == 1) {
+        ipv6.sin6_family = AF_INET6;
+        ipv6.sin6_port = htons(port);
+        out.size = sizeof ipv6;
+    } else {
         return fail(Code::ConnectFailed, "the address of the target is not an IP address");
     }
     return out;
@@ -84,14 +98,14 @@
     if (!to) {
         return tl::unexpected(to.error());
     }
-    FileDescriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    FileDescriptor socket(::socket(to->storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!socket.valid()) {
         return fail(Code::ConnectFailed, "the socket could not be created");
     }
     setOptions(socket.get());
     auto out = std::make_unique<Connection>(std::move(socket));
     out->setUnacknowledgedLimit(UnacknowledgedLimit);
-    const int result = ::connect(out->descriptor(), reinterpret_cast<const sockaddr *>(&*to), sizeof *to);
+    const int result = ::connect(out->descriptor(), reinterpret_cast<const sockaddr *>(&to->storage), to->size);
     if (result != 0 && errno != EINPROGRESS) {
         return fail(Code::ConnectFailed, "the target refused the connection");
     }
--- a/src/programs/damaskctl/http.cpp
+++ b/src/programs/damaskctl/http.cpp
@@ -1,49 +1,62 @@
 #include "programs/damaskctl/http.h"
 
-#include <httplib.h>
+#include "http/exchange.h"
+
+#include <utility>
 
 namespace damask {
 
 namespace {
 
-constexpr time_t ConnectTimeoutSeconds = 3;
-constexpr time_t ResponseTimeoutSeconds = 20; // the store may be slow
+constexpr Duration ConnectTimeout = std::chrono::seconds(3);
+constexpr Duration ResponseTimeout = std::chrono::seconds(20); // until it begins, and between two parts of it
+constexpr double MinBytesPerSecond = 10'000;                   // of a long response, on top of ResponseTimeout
+constexpr size_t MaxResponseBytes = 64UL * 1024 * 1024;
 
-httplib::Headers headersOf(const FetchRequest &ask)
+std::string hostAndPort(const Endpoint &to)
 {
-    httplib::Headers headers;
-    if (!ask.token.empty()) {
-        headers.emplace("Authorization", "Bearer " + ask.token);
-    }
-    return headers;
+    const bool ipv6 = to.address.find(':') != std::string::npos;
+    return (ipv6 ? "[" + to.address + "]" : to.address) + ":" + std::to_string(to.port);
 }
 
-bool requestNotSent(httplib::Error error)
+std::string requestHead(const FetchRequest &ask)
 {
-    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
-           || error == httplib::Error::BindIPAddress;
+    std::string out = ask.method + " " + ask.path + " HTTP/1.1\r\nHost: " + hostAndPort(ask.to)
+                      + "\r\nAccept: */*\r\nConnection: close\r\n";
+    if (!ask.token.empty()) {
+        out += "Authorization: Bearer " + ask.token + "\r\n";
+    }
+    if (ask.method == "POST") {
+        out += "Content-Type: text/plain\r\nContent-Length: " + std::to_string(ask.body.size()) + "\r\n";
+    }
+    return out + "\r\n";
 }
 
 } // namespace
 
-Result<FetchResponse> fetchOverHttp(const FetchRequest &ask)
+Result<FetchResponse> fetchOverHttp(const Clock &clock, const FetchRequest &ask)
 {
-    httplib::Client client(ask.to.address, ask.to.port);
-    client.set_connection_timeout(ConnectTimeoutSeconds);
-    client.set_read_timeout(ResponseTimeoutSeconds);
-    client.set_keep_alive(false);
-    const httplib::Headers headers = headersOf(ask);
-    const auto answer =
-        ask.method == "POST" ? client.Post(ask.path, headers, ask.body, "text/plain") : client.Get(ask.path, headers);
-    const std::string where = ask.to.address + ":" + std::to_string(ask.to.port);
-    if (answer) {
-        return FetchResponse{answer->status, answer->body};
-    }
-    if (requestNotSent(answer.error())) {
+    const std::string where = hostAndPort(ask.to);
+    const auto connection = Connection::open(ask.to.address, ask.to.port, ConnectTimeout);
+    if (!connection) {
         return fail(Code::PeerUnavailable, "cannot connect to " + where);
     }
-    return fail(ask.method == "POST" ? Code::StoreUnknown : Code::PeerUnavailable,
-                where + " received the request, but did not answer: " + httplib::to_string(answer.error()));
+    const std::string head = requestHead(ask);
+    ExchangeResult result = exchange(**connection, clock,
+                                     {.method = ask.method,
+                                      .head = head,
+                                      .body = ask.body,
+                                      .deadline = clock.now() + ResponseTimeout,
+                                      .bytesPerSecond = MinBytesPerSecond,
+                                      .maxSilence = ResponseTimeout,
+                                      .maxResponseBytes = MaxResponseBytes,
+                                      .closeEndsBody = true});
+    if (result.code == Code::Ok) {
+        return FetchResponse{result.head.status, std::move(result.body)};
+    }
+    const bool mayHaveRun = ask.method == "POST" && result.bytesSent > 0;
+    return fail(mayHaveRun ? Code::StoreUnknown : Code::PeerUnavailable,
+                where + " received the request, but sent no valid response: " + std::string(codeName(result.code)));
 }
 
 } // namespace damask
--- a/src/programs/damaskctl/http.h
+++ b/src/programs/damaskctl/http.h
@@ -1,6 +1,7 @@
 /// HTTP client for the operators' ports.
 #pragma once
 
+#include "base/clock.h"
 #include "base/result.h"
 #include "programs/damaskctl/command_line.h"
 
@@ -22,10 +23,11 @@
     std::string body;
 };
 
-/// PeerUnavailable: the request had no effect. StoreUnknown: it was sent, but no answer arrived.
+/// PeerUnavailable: the request had no effect. StoreUnknown: it was sent, but no valid response arrived.
 using HttpFetch = std::function<Result<FetchResponse>(const FetchRequest &)>;
 
-/// Uses a new connection for each request and never resends it.
-Result<FetchResponse> fetchOverHttp(const FetchRequest &ask);
+/// Uses a new connection for each request and never resends it. A response counts only if it is complete and conforms
+/// to RFC 9112.
+Result<FetchResponse> fetchOverHttp(const Clock &clock, const FetchRequest &ask);
 
 } // namespace damask
--- a/src/programs/damaskctl/main.cpp
+++ b/src/programs/damaskctl/main.cpp
@@ -34,8 +34,11 @@
         std::cerr << "damaskctl: " << line.error().detail << "\n";
         return ExitUsage;
     }
+    Clock clock;
     CommandHooks hooks;
-    hooks.fetch = fetchOverHttp;
+    hooks.fetch = [&clock](const FetchRequest &ask) {
+        return fetchOverHttp(clock, ask);
+    };
     hooks.readFile = readInput;
     hooks.print = [](std::string_view text) {
         std::cout << text << std::flush;
@@ -44,6 +47,5 @@
         std::cerr << text << std::flush;
     };
     hooks.wallClock = wallClock;
-    Clock clock;
     return runCommand(clock, *line, hooks);
 }
--- a/tests/back/test_connection.cpp
+++ b/tests/back/test_connection.cpp
@@ -1,4 +1,5 @@
-// A connection that the peer ends while data is still being sent: a reset is not a clean end.
+// Connections to both kinds of addresses, and one that the peer ends while data is still being sent: a reset is not a
+// clean end.
 #include "fakes/fake_target.h"
 #include "http/connection.h"
 
@@ -69,3 +70,19 @@
     cr_assert(it.receiveAll(end) == "whole");
     cr_assert(end == IoEnd::Closed, "%d", static_cast<int>(end));
 }
+
+Test(connection, connects_to_an_ipv6_address)
+{
+    const FileDescriptor listener(socket(AF_INET6, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in6 to{};
+    to.sin6_family = AF_INET6;
+    to.sin6_addr = in6addr_loopback;
+    socklen_t size = sizeof to;
+    if (!listener.valid() || bind(listener.get(), reinterpret_cast<sockaddr *>(&to), size) != 0) {
+        cr_skip_test("this machine has no IPv6");
+    }
+    cr_assert(listen(listener.get(), 1) == 0);
+    getsockname(listener.get(), reinterpret_cast<sockaddr *>(&to), &size);
+    cr_assert(Connection::open("::1", ntohs(to.sin6_port), 2s).has_value());
+    cr_assert(!Connection::open("localhost", ntohs(to.sin6_port), 2s).has_value(), "names are not looked up");
+}
--- a/tests/programs/test_damaskctl_path.cpp
+++ b/tests/programs/test_damaskctl_path.cpp
@@ -27,7 +27,9 @@
         const auto line = parseCommandLine(words);
         cr_assert(line.has_value(), "%s", line ? "" : line.error().detail.c_str());
         CommandHooks hooks;
-        hooks.fetch = fetchOverHttp;
+        hooks.fetch = [this](const FetchRequest &ask) {
+            return fetchOverHttp(clock, ask);
+        };
         hooks.readFile = [file](std::string_view) {
             return Result<std::string>(std::string(file));
         };
