Tests: a request sent in one piece meets the reset of its response

Cause: the tests of the reset during an upload covered bodies that are passed on while they arrive; small bodies are sent in one piece, by another path of damask::exchange(). Change: a test of that path, on a connection whose peer has responded and reset it, and on one that ended cleanly first.

--- a/tests/back/test_connection.cpp
+++ b/tests/back/test_connection.cpp
@@ -1,7 +1,7 @@
 // Connections to both kinds of addresses, and one that the peer ends while data is still being sent: a reset is not a
 // clean end.
 #include "fakes/fake_target.h"
-#include "http/connection.h"
+#include "http/exchange.h"
 
 #include <criterion/criterion.h>
 
@@ -62,6 +62,27 @@
     cr_assert(end == IoEnd::Reset, "%d", static_cast<int>(end));
 }
 
+// The same for a request that is sent in one piece, as small bodies are.
+Test(connection, a_response_without_a_length_whose_reset_a_send_has_reported_is_truncated)
+{
+    for (const bool reset : {true, false}) {
+        EndedFixture it({.bytes = "HTTP/1.1 200 OK\r\n\r\nbody", .close = true, .reset = reset});
+        if (!reset) {
+            cr_assert(it.sendUntilFailed() == IoEnd::Reset);
+        }
+        const Clock clock;
+        const ExchangeResult got = exchange(*it.connection, clock,
+                                            {.method = "PUT",
+                                             .head = "PUT / HTTP/1.1\r\nContent-Length: 6\r\n\r\n",
+                                             .body = "seat=4",
+                                             .deadline = clock.now() + 120s,
+                                             .maxResponseBytes = 100,
+                                             .closeEndsBody = true});
+        cr_assert(got.code == (reset ? Code::BadAnswer : Code::Ok), "%d", codeNumber(got.code));
+        cr_assert(reset || got.body == "body", "it ended cleanly, before the connection was reset");
+    }
+}
+
 Test(connection, a_clean_end_stays_one_when_the_peer_resets_what_is_sent_after_it)
 {
     EndedFixture it({.bytes = "whole", .close = true});
