Soak: a key that is being removed does not come back with another version

The nodes were right.

Cause: the soak's operator. It took a key from its list only once the store had accepted the version without it. A version that another fault wrote meanwhile, at the same tenth of a second, had the key again, and stayed in force until the next change 3.4 s later.

Change: the operator marks a key before it writes the version without it. The check, its bound and the faults are as strict as before; the time from which the bound counts is still that of the store's acceptance.

--- a/tests/soak/accounts.py
+++ b/tests/soak/accounts.py
@@ -14,6 +14,7 @@
         self.record, self.rng = record, rng
         self.strict = strict  # the nodes revoke strictly: disturbed ones refuse removed keys in time, too
         self.keys = {}        # key: [account, time added, time removed]; times at which the store had accepted it
+        self.withdrawn = set()  # keys that no further version may have; the first one without them may be on its way
         self.sent = {}        # request id: (key or "", account or None if the rule is exempt)
         self.arrivals = collections.defaultdict(dict)  # account: {request id: time of its first run}
         for account in ("north", "south", "small"):
@@ -26,13 +27,13 @@
         return key
 
     def current(self, account):
-        return [key for key, (name, _, removed) in self.keys.items() if name == account and removed == float("inf")]
+        return [key for key, (name, _, _) in self.keys.items() if name == account and key not in self.withdrawn]
 
-    def tenants(self, without=(), removed=()):
-        """The accounts as the configuration lists them, without some keys; `removed` ones stay in it by mistake."""
+    def tenants(self, removed=()):
+        """The accounts as the configuration lists them; `removed` keys stay in it by mistake."""
         limits = {"small": {"ratePerS": RATE_PER_S, "burst": BURST}}
-        return [{"name": it, "apiKeys": [key for key in self.current(it) if key not in without]
-                 + [key for key in removed if self.keys[key][0] == it], "priority": 0,
+        return [{"name": it, "priority": 0,
+                 "apiKeys": self.current(it) + [key for key in removed if self.keys[key][0] == it],
                  **limits.get(it, {})} for it in ("north", "south", "small")]
 
     def fields(self, request, exempt):
--- a/tests/soak/node_soak.py
+++ b/tests/soak/node_soak.py
@@ -125,8 +125,8 @@
 
     # The operators
 
-    async def configure(self, without=()):
-        """Writes a new version of the configuration without some keys, with a route named after the version."""
+    async def configure(self):
+        """Writes a new version of the configuration, with a route named after the version."""
         self.version += self.rng.randint(1, 5)
         if self.broken == "configuration" and self.version > 5:
             self.acknowledged.append((time.monotonic(), self.version))
@@ -141,10 +141,10 @@
                              "timeoutMs": 9000 if self.broken in worker.LONG_S else 900,
                              "homeRegions": ["r2"] if prefix == "home" and self.broken != "home" else []}}
                  for prefix, service in ROUTES.items()]
-        tenants = self.accounts.tenants(without)
+        tenants = self.accounts.tenants()
         if self.broken == "removal":
             now = time.monotonic()
-            tenants = self.accounts.tenants((), [key for key, it in self.accounts.keys.items() if it[2] < now])
+            tenants = self.accounts.tenants([key for key, it in self.accounts.keys.items() if it[2] < now])
         for it in tenants if self.broken == "quota" else ():
             it.pop("ratePerS", None)
         if self.broken == "tenant":
@@ -396,7 +396,8 @@
         old, new = self.rng.choice(self.accounts.current(account)), self.accounts.add(account)
         self.log_event(f"{new} in place of {old}")
         self.record.stats["key changes"] += 1
-        await self.configure(without=[old])
+        self.accounts.withdrawn.add(old)
+        await self.configure()
         now = time.monotonic()
         self.accounts.keys[old][2], self.accounts.keys[new][1] = now, now
 
