--- a/review/11/standins.py
+++ b/review/11/standins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import pathlib
@@ -84,6 +85,12 @@
     return body
 
 
+def close_quietly(writer):
+    """The loop may have ended before."""
+    with contextlib.suppress(RuntimeError):
+        writer.close()
+
+
 def message(first, fields, body=b""):
     lines = [first] + [f"{name}: {value}" for name, value in fields.items()] + [f"Content-Length: {len(body)}"]
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
@@ -187,7 +194,7 @@
             pass
         finally:
             self.writers.discard(writer)
-            writer.close()
+            close_quietly(writer)
 
 
 class Worker:
@@ -221,7 +228,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
-            writer.close()
+            close_quietly(writer)
 
     async def answer(self, head, reader, writer):
         method, target, _ = head[0].split(" ")
