Follow: changes pass only within an era of the store

Cause: a node polls for the changes after its revision. When the store had assigned revisions again up to that one before the node asked, the reply held only the later changes. Nothing read Store-Era, which tells the two histories apart. The same comparison was made between nodes: a seed that had read the copy answered its followers with the changes after their revisions of before.

Ruled out: the operators' version, which rises and is accepted once it arrives; a lower revision or a 410, which the node handled, but which don't show once the revisions have been passed.

Replies of the store, requests and news between nodes name the era; all revisions that a node keeps are of the era that it has entered by a full read. A reply or news of a later era leads to a full read, of an earlier one changes nothing, and no seed or relay of an earlier one counts as fresh. Entries that are missing from the copy are held as after an outage.

--- a/src/config/model.h
+++ b/src/config/model.h
@@ -28,6 +28,7 @@
     int64_t     startedAt = 0;    // start of its process, ms since 1970; another value is another process. 0: unknown
     Duration    coldLeft{0};      // remaining time of slow responses after its start, as of when it was reported
     uint64_t    entryRevision{0}; // of the write that reported it; 0: not registered
+    uint64_t    entryEra{0};      // to which that revision belongs: the same one may be assigned again in the next
 
     bool operator==(const Target &) const = default;
 };
--- a/src/follow/change_log.cpp
+++ b/src/follow/change_log.cpp
@@ -18,23 +18,23 @@
 {
 }
 
-void ChangeLog::restart(uint64_t revision)
+void ChangeLog::restart(StorePosition at)
 {
     m_changes.clear();
     m_bytes = 0;
-    m_base = revision;
-    m_revision = revision;
+    m_base = at.revision;
+    m_position = at;
 }
 
-uint64_t ChangeLog::revision() const
+StorePosition ChangeLog::position() const
 {
-    return m_revision;
+    return m_position;
 }
 
 void ChangeLog::record(std::span<const StoreChange> changes, uint64_t revision, TimePoint now)
 {
     for (const StoreChange &it : changes) {
-        if (it.revision <= m_revision) {
+        if (it.revision <= m_position.revision) {
             continue; // already recorded
         }
         eraseKey(it.key);
@@ -45,7 +45,7 @@
                              [](uint64_t at, const LoggedChange &logged) { return at < logged.change.revision; });
         m_changes.insert(later, {it, now});
     }
-    m_revision = std::max(m_revision, revision);
+    m_position.revision = std::max(m_position.revision, revision);
     while (!m_changes.empty() && (now - m_changes.front().at > m_options.retention || m_bytes > m_options.maxBytes)) {
         dropOldest();
     }
--- a/src/follow/change_log.h
+++ b/src/follow/change_log.h
@@ -1,10 +1,13 @@
 /// A bounded log of recent store changes, from which a node serves its followers.
 ///
 /// Only the last change of each key is kept, so a burst of changes to one key costs as much as one change.
+/// All revisions are of one era of the store; restart() begins another.
+///
 /// Pure: the caller passes the time. Not safe to share between threads.
 #pragma once
 
 #include "base/time.h"
+#include "store/position.h"
 #include "store/protocol.h"
 
 #include <cstdint>
@@ -25,10 +28,10 @@
 public:
     explicit ChangeLog(const ChangeLogOptions &options);
 
-    void     restart(uint64_t revision); // after a full read at `revision`: clears the log
-    void     record(std::span<const StoreChange> changes, uint64_t revision,
-                    TimePoint now); // all up to `revision`, in any order
-    uint64_t revision() const;      // of the last record() or restart()
+    void          restart(StorePosition at); // after a full read: clears the log
+    void          record(std::span<const StoreChange> changes, uint64_t revision,
+                         TimePoint now); // all up to `revision`, in any order
+    StorePosition position() const;      // of the last record() or restart()
 
     /// The first changes after a revision, complete up to the revision of the last.
     struct Step {
@@ -52,7 +55,7 @@
     ChangeLogOptions         m_options;
     std::deque<LoggedChange> m_changes;  // by ascending revision
     uint64_t                 m_base = 0; // all changes after it are in the log
-    uint64_t                 m_revision = 0;
+    StorePosition            m_position;
     size_t                   m_bytes = 0;
 };
 
--- a/src/follow/compose.cpp
+++ b/src/follow/compose.cpp
@@ -19,6 +19,7 @@
     out.startedAt = from.startedAt;
     out.coldLeft = from.coldLeft;
     out.entryRevision = from.revision;
+    out.entryEra = from.era;
     return out;
 }
 
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -156,7 +156,7 @@
 bool Follower::State::mayStartStale() const
 {
     const bool followsLater = !options.sources.seeds.empty() && !sources.isSeed();
-    return verifiedAt == TimePoint() && followsLater && (source || options.systemStarts);
+    return verifiedAt == TimePoint() && knownRevision == 0 && followsLater && (source || options.systemStarts);
 }
 
 void Follower::State::readEntries(std::span<const StoreEntry> entries, std::vector<RegisteredTarget> &targets)
@@ -175,7 +175,7 @@
 /// may have targets without the evacuations of their data centres.
 void Follower::State::startFromFirstPage(const StoreListing &page, TimePoint requestedAt)
 {
-    if (options.evacuationPrefix > options.targetPrefix) {
+    if (options.evacuationPrefix > options.targetPrefix || page.era.value_or(era) < era) {
         return;
     }
     markStoreReachable(requestedAt);
@@ -207,8 +207,12 @@
     }
     const TimePoint now = clock.now();
     reachesStore = true;
+    if (isBehind(listed->era, "list")) {
+        return false;
+    }
+    enterEra(listed->era.value_or(era), listed->revision);
     if (freshness == ListFreshness::Latest && listed->revision < knownRevision) {
-        restartHistory(listed->revision);
+        acceptOlderStore(listed->revision);
     }
     if (freshness == ListFreshness::Latest) {
         markStoreReachable(requestedAt);
@@ -287,8 +291,11 @@
     }
     const TimePoint proven = provenAt(*changes, requestedAt, wait);
     lastProofAge = clock.now() - proven;
+    if (isBehind(changes->era, "poll")) {
+        return false;
+    }
     reachesStore = true;
-    if (mayHaveReturnedOlder(changes->revision, revisionAt)) {
+    if (changes->era.value_or(era) > era || mayHaveReturnedOlder(changes->revision, revisionAt)) {
         return readSnapshot(ListFreshness::Latest);
     }
     markStoreReachable(proven);
@@ -398,6 +405,7 @@
         return false;
     }
     read->revision = entryRevision;
+    read->era = era;
     if (into != nullptr) {
         into->push_back(std::move(*read));
     } else {
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -3,6 +3,9 @@
 ///
 /// Use: `Follower follower(clock, metrics, store, options, hooks); follower.start(); ... follower.stop();`
 ///
+/// Revisions are kept and compared only within one era of the store (store/position.h). A node that learns of a later
+/// era reads everything again, and ignores what comes from an earlier one.
+///
 /// A configuration takes effect only when its version is above the one in force, whatever the store returns later.
 /// While the store is unreachable, the last known state stays in force. With seeds (source_choice.h) a node receives
 /// changes from one of them; it calls the store at its start and when no seed has fresh data. Its first list may be
@@ -70,6 +73,7 @@
     std::string              source;                 // address of the followed seed; empty: the store
     uint64_t                 version = 0;            // of the operators' configuration; 0: none yet
     uint64_t                 revision = 0;           // store revision up to which all changes are applied
+    uint64_t                 era = 0;                // of the store, to which the revision belongs; 0: it names none
     size_t                   targets = 0;
     std::vector<std::string> evacuated; // data centres, sorted
 };
--- a/src/follow/follower_history.cpp
+++ b/src/follow/follower_history.cpp
@@ -31,12 +31,49 @@
     return true;
 }
 
-/// Revisions known so far say nothing about the new ones, which may repeat them. Versions of the configuration still
-/// only increase. Nodes that follow this one notice the lower revision by themselves.
-void Follower::State::restartHistory(uint64_t storeRevision)
+/// Whether an answer of the store is from an earlier era than this node's data, as from a member that has not returned
+/// with the others. It counts as no answer.
+bool Follower::State::isBehind(std::optional<uint64_t> answeredEra, std::string_view call)
+{
+    if (!answeredEra || *answeredEra >= era) {
+        return false;
+    }
+    markStoreLost(call, {Code::StoreUnavailable,
+                         "answered in era " + std::to_string(*answeredEra) + ", after era " + std::to_string(era)});
+    return true;
+}
+
+/// Called with each full read. The first one begins no history anew.
+void Follower::State::enterEra(uint64_t listedEra, uint64_t storeRevision)
+{
+    if (listedEra == era) {
+        return;
+    }
+    if (knownRevision != 0) {
+        metrics.count("damask_store_era_changes_total");
+        logEvent(Severity::Warning, "store-era-changed",
+                 {{"era", listedEra}, {"before", era}, {"revision", storeRevision}, {"known", knownRevision}});
+        restartHistory();
+        registry.storeLost(clock.now()); // it was away, although no call of this node may have failed
+    }
+    era = listedEra;
+    sources.enterEra(era);
+    LockGuard lock(mutex);
+    status.era = era;
+}
+
+/// The store has returned with an older state, but names no era that would show it.
+void Follower::State::acceptOlderStore(uint64_t storeRevision)
 {
     metrics.count("damask_store_older_total");
     logEvent(Severity::Error, "store-older", {{"revision", storeRevision}, {"known", knownRevision}});
+    restartHistory();
+}
+
+/// Revisions known so far say nothing about the new ones, which may repeat them. Versions of the configuration still
+/// only increase. Nodes that follow this one notice the other era, or the lower revision, by themselves.
+void Follower::State::restartHistory()
+{
     registry.forgetRevisions();
     knownRevision = 0;
     LockGuard lock(mutex);
--- a/src/follow/follower_news.cpp
+++ b/src/follow/follower_news.cpp
@@ -84,12 +84,20 @@
     }
 }
 
-/// An update that begins after this node's revision would leave a gap; it is ignored, and the next answer carries the
-/// missing changes. One of several steps proves nothing about newer changes; the next step is asked for at once.
+/// An update of a later era can't be applied; a full read follows. One that begins after this node's revision would
+/// leave a gap; it is ignored, and the next answer carries the missing changes. One of several steps proves nothing
+/// about newer changes; the next step is asked for at once.
 void Follower::State::applyNews(StoreNews &news)
 {
     const auto verified = sources.handleAnswer(news, clock.now());
-    if (revision == 0 || news.from > revision) {
+    if (revision == 0 || news.era < era) {
+        return;
+    }
+    if (news.era > era) {
+        revision = 0;
+        return;
+    }
+    if (news.from > revision) {
         return;
     }
     // A source that the store confirmed before this node learned its revision is only behind. A reply of the store is
@@ -224,7 +232,7 @@
             }
         }
         if (knownRevision == 0) {
-            log.restart(listed.revision);
+            log.restart({era, listed.revision});
         } else {
             log.record(differences, listed.revision, now);
         }
@@ -291,12 +299,18 @@
 {
     State &state = *m_state;
     LockGuard lock(state.mutex);
-    StoreNews out{.number = request.number, .from = request.revision, .revision = state.log.revision()};
+    const StorePosition position = state.log.position();
+    StoreNews out{.number = request.number, .from = request.revision, .revision = position.revision};
+    out.era = position.era;
     const bool everVerified = state.status.verifiedAt != TimePoint();
     out.age = everVerified ? state.clock.now() - state.status.verifiedAt : UnknownAge;
     out.hops = state.hops;
     if (!request.follows) {
-        out.whole = out.revision <= request.revision;
+        out.whole = position <= request.position();
+        return out;
+    }
+    if (request.era != position.era) {
+        out.whole = false;
         return out;
     }
     auto step = state.log.since(request.revision, std::max(maxBytes, MinStepBytes));
--- a/src/follow/follower_state.h
+++ b/src/follow/follower_state.h
@@ -38,7 +38,10 @@
     bool      pollOnce();
     TimePoint provenAt(const StoreChanges &answer, TimePoint requestedAt, Duration wait) const;
     bool      mayHaveReturnedOlder(uint64_t storeRevision, TimePoint confirmedAt);
-    void      restartHistory(uint64_t storeRevision);
+    bool      isBehind(std::optional<uint64_t> answeredEra, std::string_view call);
+    void      enterEra(uint64_t listedEra, uint64_t storeRevision);
+    void      acceptOlderStore(uint64_t storeRevision);
+    void      restartHistory();
     void      applyChange(StoreChange &change);
     void      applyConfiguration(std::string_view value, uint64_t entryRevision);
     void      recordRegistryChange(std::string_view id, RegistryOutcome outcome, std::string_view detail);
@@ -77,6 +80,7 @@
     WatchedConfiguration  configuration;
     bool                  hasConfiguration = false;
     bool                  changed = false;       // since the last publish()
+    uint64_t              era = 0;               // of the store; all revisions kept here are of it. 0: none known
     uint64_t              revision = 0;          // poll for changes after it; 0: a full read is due
     uint64_t              knownRevision = 0;     // as revision, but kept while a full read is due
     uint64_t              listedRevision = 0;    // of the last full read; changes up to it are skipped
--- a/src/follow/news.h
+++ b/src/follow/news.h
@@ -3,11 +3,13 @@
 /// Plain values. A follower sends a FollowRequest at a fixed interval, and the other node answers each with StoreNews.
 /// It also sends StoreNews unsolicited as soon as it learns of changes. An answer to a node that does not follow
 /// carries no changes. The operators' configuration travels packed, against the version that the follower has. Changes
-/// too large for one message are sent in steps: the follower asks for the next at once.
+/// too large for one message are sent in steps: the follower asks for the next at once. Changes are passed on only
+/// within an era of the store: an answer to a request of another era has none.
 #pragma once
 
 #include "base/time.h"
 #include "follow/packed_value.h"
+#include "store/position.h"
 #include "store/protocol.h"
 
 #include <cstdint>
@@ -18,12 +20,18 @@
 
 struct FollowRequest {
     uint64_t    number = 0;             // rises with each request of the sender; repeated in the answer
-    uint64_t    revision = 0;           // store revision up to which the sender has all changes
+    uint64_t    revision = 0;           // store revision, of `era`, up to which the sender has all changes
     bool        follows = false;        // asks for changes; false: asks only how fresh the receiver's data is
     std::string endpoint = {};          // IP:PORT at which the sender can be followed; empty: it can't
     std::string dataCentre = {};        // of the sender
     uint64_t    linkBytesPerSecond = 0; // capacity of the sender's link; 0: unknown
     bool        unpacks = true;         // the sender can read packed changes
+    uint64_t    era = 0;                // of the store, as the sender knows it; 0: none
+
+    StorePosition position() const
+    {
+        return {era, revision};
+    }
 };
 
 /// A change whose value is packed.
@@ -45,6 +53,12 @@
     std::vector<StoreChange>  changes;      // by ascending revision; only the last of each key
     std::vector<PackedChange> packed = {};  // further changes, in place of those with large values
     std::string               relay = {};   // IP:PORT of a node nearby to follow instead of the sender; empty: none
+    uint64_t                  era = 0;      // of all revisions in it; 0: the store names none
+
+    StorePosition position() const
+    {
+        return {era, revision};
+    }
 };
 
 } // namespace damask
--- a/src/follow/source_choice.cpp
+++ b/src/follow/source_choice.cpp
@@ -27,6 +27,11 @@
     return m_own.has_value();
 }
 
+void SourceChoice::enterEra(uint64_t era)
+{
+    m_era = era;
+}
+
 bool SourceChoice::hasRelay() const
 {
     return m_seeds.size() > m_options.seeds.size();
@@ -102,7 +107,9 @@
         it.answered = false;
         it.requestedAt = now;
         it.asFollower = m_current == n;
-        out.push_back({n, {it.requestNumber, revision, it.asFollower}, it.address});
+        out.push_back({n,
+                       {.number = it.requestNumber, .revision = revision, .follows = it.asFollower, .era = m_era},
+                       it.address});
     }
     return out;
 }
@@ -136,11 +143,12 @@
     it->verified = true;
     it->verifiedAt = it->requestedAt - news.age; // a lower bound: the seed answered after the request was sent
     it->hops = news.hops;
+    it->era = news.era;
     it->roundTrip = it->answerCount == 0 ? now - it->requestedAt : std::min(it->roundTrip, now - it->requestedAt);
     it->answerCount = std::min(it->answerCount + 1, TrustedAnswerCount);
     const bool isCurrent = m_current && &m_seeds[*m_current] == &*it;
     const std::optional<TimePoint> proof =
-        it->asFollower && !news.more && isCurrent ? std::optional(it->verifiedAt) : std::nullopt;
+        it->asFollower && !news.more && isCurrent && news.era == m_era ? std::optional(it->verifiedAt) : std::nullopt;
     if (isCurrent) {
         offerRelay(news.relay);
     }
@@ -151,7 +159,8 @@
 {
     const Seed &it = m_seeds[n];
     const bool isLater = m_own && reachesStore && n > *m_own;
-    return !it.own && !isLater && it.verified && it.hops < m_options.maxHops && now - it.verifiedAt < staleAfter();
+    return !it.own && !isLater && it.verified && it.era >= m_era && it.hops < m_options.maxHops
+           && now - it.verifiedAt < staleAfter();
 }
 
 std::optional<size_t> SourceChoice::source(TimePoint now, bool reachesStore)
--- a/src/follow/source_choice.h
+++ b/src/follow/source_choice.h
@@ -56,6 +56,9 @@
     std::vector<SeedRequest> dueRequests(TimePoint now, uint64_t revision);
     TimePoint                nextDue() const; // Never without seeds
 
+    /// The store's era that this node has entered. Seeds that are behind it are not followed.
+    void enterEra(uint64_t era);
+
     /// Records an answer, and the relay that the followed seed names. For the awaited answer of the followed seed or
     /// relay, returns the time at which the store had nothing newer than the answer.
     std::optional<TimePoint> handleAnswer(const StoreNews &news, TimePoint now);
@@ -82,6 +85,7 @@
         bool        verified = false;
         TimePoint   verifiedAt{}; // when the store had nothing newer than the seed
         int         hops = 0;
+        uint64_t    era = 0;         // of its data
         int         answerCount = 0; // capped at TrustedAnswerCount
         Duration    roundTrip{0};    // the shortest
     };
@@ -98,6 +102,7 @@
     std::optional<size_t> m_own;
     std::optional<size_t> m_current;
     uint64_t              m_number = 0;
+    uint64_t              m_era = 0;
     bool                  m_othersRequested = false; // since the last answer of the followed seed
 };
 
--- a/src/follow/watched.h
+++ b/src/follow/watched.h
@@ -46,6 +46,7 @@
     int64_t     startedAt = 0;    // start of its process, ms since 1970 by its own clock; no order. 0: unknown
     int64_t     sequence = 0;     // rises with each write by the same process
     uint64_t    revision = 0;     // store revision of the entry
+    uint64_t    era = 0;          // of the store, to which the revision belongs
     Duration    coldLeft{0};      // remaining time of slow responses after its start
 
     bool operator==(const RegisteredTarget &) const = default;
--- a/src/programs/damask-node/neighbours.cpp
+++ b/src/programs/damask-node/neighbours.cpp
@@ -27,7 +27,7 @@
 /// A node that follows this one.
 struct FollowerEntry {
     WireSource source;
-    uint64_t revision = 0; // that it has, or was sent
+    StorePosition position; // that it has, or was sent
     bool unpacks = false;
     TimePoint askedAt{};
     TimePoint inTransitUntil{}; // what it was sent may not have arrived before
@@ -168,10 +168,10 @@
 {
     LockGuard lock(mutex);
     const auto it = followers.find(source.routingId);
-    if (it == followers.end() || !news.whole || news.revision <= it->second.revision) {
+    if (it == followers.end() || !news.whole || news.position() <= it->second.position) {
         return;
     }
-    it->second.revision = news.revision;
+    it->second.position = news.position();
     it->second.inTransitUntil = clock.now() + transitTime(bytesOf(news), receivers);
 }
 
@@ -198,10 +198,12 @@
     const bool isNew = !followers.contains(source.routingId);
     FollowerEntry &entry = followers[source.routingId];
     if (now < entry.inTransitUntil) {
-        request.revision = std::max(request.revision, entry.revision);
+        const StorePosition sent = std::max(request.position(), entry.position);
+        request.era = sent.era;
+        request.revision = sent.revision;
     }
     entry.source = source;
-    entry.revision = request.revision;
+    entry.position = request.position();
     entry.unpacks = request.unpacks;
     entry.askedAt = now;
     relay = relays.recordRequest(request, now);
@@ -283,7 +285,8 @@
     const size_t maxNewsBytes = m_state->maxBytes(all.size());
     for (const FollowerEntry &it : all) {
         const StoreNews news = m_state->hooks.news(
-            {.number = 0, .revision = it.revision, .follows = true, .unpacks = it.unpacks}, maxNewsBytes);
+            {.revision = it.position.revision, .follows = true, .unpacks = it.unpacks, .era = it.position.era},
+            maxNewsBytes);
         if (news.whole && news.changes.empty() && news.packed.empty()) {
             continue; // it has all changes already
         }
--- a/src/programs/damask-node/node.cpp
+++ b/src/programs/damask-node/node.cpp
@@ -378,6 +378,7 @@
     out += ", \"followers\": " + std::to_string(neighbours.followers());
     out += ", \"version\": " + std::to_string(n.version);
     out += ", \"storeRevision\": " + std::to_string(n.revision);
+    out += ", \"storeEra\": " + std::to_string(n.era);
     out += ", \"targets\": " + std::to_string(n.targets);
     out += ", \"quota\": ";
     quota.appendStatus(out);
--- a/src/route/service_table.cpp
+++ b/src/route/service_table.cpp
@@ -102,8 +102,9 @@
     if (moved && m_revision > 0) {
         entry->health.beginSlowStart(now);
     }
-    const bool written =
-        target.coldLeft != entry->target.coldLeft || target.entryRevision != entry->target.entryRevision;
+    const bool written = target.coldLeft != entry->target.coldLeft
+                         || target.entryRevision != entry->target.entryRevision
+                         || target.entryEra != entry->target.entryEra;
     const bool coldAgain = target.coldLeft > Duration(0) && written && tracksCold();
     entry->target = target;
     entry->configured = true;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -63,7 +63,8 @@
     StoreOptions options;
     StoreProtocol protocol;
     std::atomic<bool> reachable{false};
-    std::atomic<size_t> listBytes{0}; // of all pages of the last list, as received
+    std::atomic<size_t> listBytes{0};      // of all pages of the last list, as received
+    std::atomic<bool> eraMalformed{false}; // in the last reply that had one
 
     State(Clock &clockIn, Metrics &metricsIn, const StoreOptions &optionsIn, StoreProtocol protocolIn)
         : clock(clockIn)
@@ -123,7 +124,7 @@
             const bool unknown = kind == CallKind::Write && result->bytesSent > 0;
             return fail(unknown ? Code::StoreUnknown : Code::StoreUnavailable, codeName(result->code));
         }
-        return StoreReply{result->head.status, std::move(result->body)};
+        return StoreReply{result->head.status, std::move(result->body), std::move(result->head.headers)};
     }
 
     /// Passes on replies that the protocol has to decode: the store executed the call, or understood and refused it.
@@ -161,6 +162,25 @@
         return out;
     }
 
+    /// The era that a reply names; nullopt without one. A malformed one is counted and logged, and otherwise ignored.
+    std::optional<uint64_t> eraOf(const StoreReply &reply)
+    {
+        if (!protocol.readEra) {
+            return std::nullopt;
+        }
+        const auto era = protocol.readEra(reply);
+        const bool malformed = !era && era.error().code != Code::NotFound;
+        if (malformed) {
+            countUnreadable(1);
+        }
+        if (malformed && !eraMalformed.exchange(true)) {
+            logEvent(Severity::Warning, "store-era-refused", {{"detail", era.error().detail}});
+        } else if (era) {
+            eraMalformed = false;
+        }
+        return era ? std::optional(*era) : std::nullopt;
+    }
+
     void countUnreadable(size_t count)
     {
         for (size_t n = 0; n < count; ++n) {
@@ -212,7 +232,11 @@
     size_t bytes = 0;
     const auto read = [&](const StoreReply &it) {
         bytes += it.body.size();
-        return s.protocol.readList(it);
+        auto page = s.protocol.readList(it);
+        if (page) {
+            page->era = s.eraOf(it);
+        }
+        return page;
     };
     do {
         auto page = s.call("list", s.protocol.list(prefix, after, freshness), CallKind::Read, read);
@@ -222,6 +246,10 @@
         // The pages are not a consistent snapshot. Polling continues from the revision of the oldest page, so that no
         // change is missed.
         out.revision = after.empty() ? page->revision : std::min(out.revision, page->revision);
+        if (out.era && page->era && page->era != out.era) {
+            return fail(Code::StoreUnavailable, "the pages are of different eras of the store");
+        }
+        out.era = out.era ? out.era : page->era;
         if (firstPage && after.empty() && !page->next.empty()) {
             firstPage(*page);
         }
@@ -238,8 +266,14 @@
     State &s = *m_state;
     DAMASK_ASSERT(s.protocol.poll, "call poll() only with a protocol that has a long poll; otherwise use watch()");
     const size_t maxBytes = std::clamp(2 * s.listBytes.load(), MinPollBytes, MaxReplyBytes);
-    auto out = s.call("poll", s.protocol.poll(prefix, after, wait), CallKind::Read, s.protocol.readPoll, wait, &cancel,
-                      maxBytes);
+    const auto read = [&](const StoreReply &it) {
+        auto changes = s.protocol.readPoll(it);
+        if (changes) {
+            changes->era = s.eraOf(it);
+        }
+        return changes;
+    };
+    auto out = s.call("poll", s.protocol.poll(prefix, after, wait), CallKind::Read, read, wait, &cancel, maxBytes);
     s.countUnreadable(out ? out->unreadable : 0);
     return out;
 }
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -43,8 +43,9 @@
     ~StoreClient();
 
     Result<StoreEntry> get(std::string_view key); // NotFound, StoreUnavailable, StoreBadValue
-    /// StoreUnavailable, StoreBadValue. Changes after the revision of the result may be missing in it. When more than
-    /// one page is needed, `firstPage` gets the first before the others are read.
+    /// StoreUnavailable, also when the store began a new era between two pages; StoreBadValue. Changes after the
+    /// revision of the result may be missing in it. When more than one page is needed, `firstPage` gets the first
+    /// before the others are read.
     Result<StoreListing> list(std::string_view prefix, ListFreshness freshness = ListFreshness::Latest,
                               const std::function<void(const StoreListing &)> &firstPage = {});
     /// Long poll: the changes to keys with the prefix after a revision. Waits up to `wait` for the first change; the
--- a/src/store/protocol.h
+++ b/src/store/protocol.h
@@ -7,6 +7,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "call/message.h"
 
 #include <cstdint>
 #include <functional>
@@ -35,6 +36,7 @@
     uint64_t                revision = 0;
     std::string             next = {};      // if not empty, more entries follow after this key
     size_t                  unreadable = 0; // items left out because they name no key
+    std::optional<uint64_t> era = {};       // nullopt: not named
 };
 
 /// Precondition of a write: the key must still have this version. Used to prove that a lease is still held.
@@ -63,6 +65,7 @@
     std::vector<StoreChange> changes;
     uint64_t                 revision = 0;
     size_t                   unreadable = 0; // changes left out because they name no key
+    std::optional<uint64_t>  era = {};       // nullopt: not named
 };
 
 /// One change seen by a watch. No entry means that the key was deleted.
@@ -87,13 +90,16 @@
 
 /// Complete HTTP reply to a call.
 struct StoreReply {
-    int         status = 200;
-    std::string body;
+    int                      status = 200;
+    std::string              body;
+    std::vector<HeaderField> headers = {};
 };
 
 /// Pairs of hooks: one encodes the request, one decodes the reply. A decoder may return any code; the client counts it.
 /// readWatchLine returns how many events of the line were malformed; its error ends the watch.
 struct StoreProtocol {
+    /// The store's era (store/position.h). NotFound without one, StoreBadValue when malformed. May be empty.
+    std::function<Result<uint64_t>(const StoreReply &)>                         readEra;
     std::function<StoreCall(std::string_view key)>                              get;
     std::function<Result<StoreEntry>(std::string_view key, const StoreReply &)> readGet; // NotFound
     std::function<StoreCall(std::string_view prefix, std::string_view after, ListFreshness freshness)>
--- a/src/wire/message.cpp
+++ b/src/wire/message.cpp
@@ -88,6 +88,7 @@
     to.mutable_follow()->set_data_centre(from.dataCentre);
     to.mutable_follow()->set_link_bytes_per_second(from.linkBytesPerSecond);
     to.mutable_follow()->set_unpacks(from.unpacks);
+    to.mutable_follow()->set_era(from.era);
 }
 
 void write(const StoreNews &from, pb::Envelope &to)
@@ -101,6 +102,7 @@
     news.set_whole(from.whole);
     news.set_more(from.more);
     news.set_relay(from.relay);
+    news.set_era(from.era);
     for (const StoreChange &it : from.changes) {
         pb::StoreChange &change = *news.add_changes();
         change.set_key(it.key);
@@ -214,7 +216,8 @@
                          .endpoint = from.endpoint(),
                          .dataCentre = from.data_centre(),
                          .linkBytesPerSecond = from.link_bytes_per_second(),
-                         .unpacks = from.unpacks()};
+                         .unpacks = from.unpacks(),
+                         .era = from.era()};
 }
 
 Result<PackedChange> readPackedChange(const pb::PackedChange &from, uint64_t latestRevision)
@@ -249,7 +252,8 @@
                   .more = from.more(),
                   .changes = {},
                   .packed = {},
-                  .relay = from.relay()};
+                  .relay = from.relay(),
+                  .era = from.era()};
     for (const pb::StoreChange &it : from.changes()) {
         if (const auto checked = checkText(it.key(), MaxNameBytes, "store_news.key"); !checked) {
             return tl::make_unexpected(checked.error());
--- a/tests/fakes/fake_platform_store.h
+++ b/tests/fakes/fake_platform_store.h
@@ -100,6 +100,20 @@
         }
         wake();
     }
+    /// Returns from the copy of freezeStaleReads() in a new era, and runs `writes` before it answers a call.
+    void returnInEra(uint64_t era, const std::function<void()> &writes)
+    {
+        setBehaviour(StoreBehaviour::ResetsConnections);
+        restoreFrozen();
+        writes();
+        setEra(std::to_string(era));
+        setBehaviour(StoreBehaviour::Healthy);
+    }
+    void setEra(std::string_view era) // of all later answers; empty: they have none
+    {
+        LockGuard lock(m_mutex);
+        m_era = era;
+    }
     void setPageItems(size_t items) // of a range
     {
         LockGuard lock(m_mutex);
@@ -135,6 +149,11 @@
         LockGuard lock(m_mutex);
         m_replyDelay = delay;
     }
+    uint64_t revision() const
+    {
+        LockGuard lock(m_mutex);
+        return m_revision;
+    }
     int calls() const
     {
         LockGuard lock(m_mutex);
@@ -265,7 +284,7 @@
         if (m_behaviour != StoreBehaviour::Healthy) {
             return false; // a fault closes waiting long polls
         }
-        if (peer.after < m_oldest) {
+        if (peer.after < m_oldest || (!m_era.empty() && peer.after > m_revision)) {
             return reply(peer, "410 Gone", "{}");
         }
         std::string events;
@@ -311,7 +330,8 @@
     {
         poll(nullptr, 0, static_cast<int>(toMilliseconds(m_replyDelay)));
         std::string out = "HTTP/1.1 " + std::string(status) + "\r\nContent-Type: application/json\r\nContent-Length: "
-                          + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + std::string(body);
+                          + std::to_string(body.size()) + (m_era.empty() ? "" : "\r\nStore-Era: " + m_era)
+                          + "\r\nConnection: close\r\n\r\n" + std::string(body);
         send(peer.socket.get(), out.data(), out.size(), MSG_NOSIGNAL);
         return false;
     }
@@ -325,6 +345,7 @@
     std::vector<Event>           m_events;
     uint64_t                     m_revision = 1;
     uint64_t                     m_oldest = 0;
+    std::string                  m_era; // empty: not named
     std::map<std::string, Event> m_staleItems;
     uint64_t                     m_staleRevision = 0; // 0: no read is stale
     int                          m_latestRanges = 0;
--- a/tests/fakes/seed_and_follower.h
+++ b/tests/fakes/seed_and_follower.h
@@ -143,6 +143,7 @@
                 continue;
             }
             knownRevision = it.request.revision;
+            knownEra = it.request.era;
             StoreNews news = seed.follower->news(it.request, maxBytes);
             news.relay = namesRelay ? "relay" : "";
             count(news);
@@ -152,7 +153,8 @@
     void pushUpdate()
     {
         if (!disconnected) {
-            StoreNews news = seed.follower->news({.revision = knownRevision, .follows = true}, maxBytes);
+            StoreNews news =
+                seed.follower->news({.revision = knownRevision, .follows = true, .era = knownEra}, maxBytes);
             count(news);
             other.follower->receive(std::move(news));
         }
@@ -167,6 +169,7 @@
     std::atomic<bool>     relayAnswers{true};
     std::atomic<size_t>   maxBytes{DefaultMaxBytes};
     std::atomic<uint64_t> knownRevision{0};
+    std::atomic<uint64_t> knownEra{0};
     std::atomic<size_t>   sentBytes{0};
     FollowingNode         seed;
     FollowingNode         other;
--- a/tests/follow/test_change_log.cpp
+++ b/tests/follow/test_change_log.cpp
@@ -19,12 +19,12 @@
 Test(change_log, returns_only_the_last_change_of_each_key_after_a_revision)
 {
     ChangeLog log({});
-    log.restart(10);
+    log.restart({0, 10});
     const std::vector<StoreChange> first{change("a", "1", 11), change("b", "1", 12)};
     const std::vector<StoreChange> second{change("a", "2", 15)};
     log.record(first, 13, Start);
     log.record(second, 15, Start);
-    cr_assert(log.revision() == 15);
+    cr_assert(log.position().revision == 15);
     const auto all = log.since(10, 1000);
     cr_assert(all && !all->more && all->changes.size() == 2);
     cr_assert(all->changes[0].key == "b" && all->changes[1].key == "a" && all->changes[1].value == "2");
@@ -35,7 +35,7 @@
 Test(change_log, returns_nothing_when_changes_are_missing)
 {
     ChangeLog log({.retention = 5s});
-    log.restart(10);
+    log.restart({0, 10});
     cr_assert(!log.since(9, 1000), "revision 9 is before the full read");
     const std::vector<StoreChange> first{change("a", "1", 11)};
     const std::vector<StoreChange> second{change("b", "1", 12)};
@@ -48,7 +48,7 @@
 Test(change_log, respects_the_byte_limits_of_the_request_and_of_the_log)
 {
     ChangeLog log({.retention = 5s, .maxBytes = 300});
-    log.restart(1);
+    log.restart({0, 1});
     const std::vector<StoreChange> large{change("a", std::string(200, 'x'), 2)};
     log.record(large, 2, Start);
     cr_assert(log.since(1, 201)->changes.size() == 1);
@@ -65,7 +65,7 @@
 Test(change_log, gives_changes_in_steps_of_whole_revisions)
 {
     ChangeLog log({});
-    log.restart(1);
+    log.restart({0, 1});
     const std::vector<StoreChange> changes{change("a", std::string(200, 'x'), 2), change("b", "1", 3),
                                            change("c", "1", 3), change("d", "1", 4)};
     log.record(changes, 9, Start);
@@ -81,7 +81,7 @@
 Test(change_log, ignores_changes_that_are_already_recorded)
 {
     ChangeLog log({});
-    log.restart(1);
+    log.restart({0, 1});
     const std::vector<StoreChange> once{change("a", "1", 2), change("a", "2", 3)};
     log.record(once, 3, Start);
     log.record(once, 3, Start);
@@ -93,7 +93,7 @@
 Test(change_log, steps_skip_no_change_that_was_recorded_behind_later_ones)
 {
     ChangeLog log({});
-    log.restart(10);
+    log.restart({0, 10});
     const std::vector<StoreChange> news{change("a", std::string(100, 'x'), 11), change("b", std::string(100, 'x'), 13),
                                         change("c", std::string(100, 'x'), 14), change("configuration", "1", 12)};
     log.record(news, 14, Start);
@@ -106,7 +106,7 @@
         for (const StoreChange &it : step->changes) {
             received.push_back(it.revision);
         }
-        known = step->more ? step->changes.back().revision : log.revision();
+        known = step->more ? step->changes.back().revision : log.position().revision;
         more = step->more;
     }
     cr_assert(received == std::vector<uint64_t>({11, 12, 13, 14}), "received %zu changes", received.size());
--- a/tests/follow/test_compose.cpp
+++ b/tests/follow/test_compose.cpp
@@ -19,6 +19,8 @@
     a.service = "listings";
     a.slots = 6;
     a.startedAt = 12;
+    a.revision = 5;
+    a.era = 2;
     RegisteredTarget unknownService;
     unknownService.id = "i-b";
     unknownService.service = "unknown";
@@ -30,6 +32,7 @@
     cr_assert(out.pools.size() == 2 && out.pools[0].targets.size() == 1 && out.pools[1].targets.empty());
     const Target &it = out.pools[0].targets[0];
     cr_assert(it.name == "i-a" && it.instance == "i-a" && it.startedAt == 12);
+    cr_assert(it.entryRevision == 5 && it.entryEra == 2);
     cr_assert(out.services[0].pool == "listings" && out.services[0].connectionShare == 12);
     cr_assert(out.dataCentres.size() == 1 && out.evacuatedDataCentres == evacuated);
 }
--- a/tests/follow/test_source_choice.cpp
+++ b/tests/follow/test_source_choice.cpp
@@ -307,3 +307,22 @@
     it.choice.handleAnswer({.number = 0, .from = 7, .revision = 8, .more = true}, it.now);
     cr_assert(it.choice.nextDue() <= it.now);
 }
+
+// CONFIG: a seed that had not noticed that the store was in another era was followed as if its data were fresh.
+Test(source_choice, a_seed_whose_data_is_of_an_earlier_era_is_not_followed)
+{
+    Node it("n9");
+    it.exchange({0});
+    cr_assert(it.source() == 0U);
+    it.choice.enterEra(2);
+    cr_assert(!it.source(), "its data was of no era");
+    const std::vector<SeedRequest> requests = it.choice.dueRequests(it.now + 1s, 7);
+    cr_assert(!requests.empty() && (requests[0].request.position() == StorePosition{2, 7}));
+    StoreNews news{.number = requests[0].request.number, .from = 7, .revision = 9, .era = 1};
+    it.choice.handleAnswer(news, it.now + 1s);
+    cr_assert(!it.choice.source(it.now + 1s, false));
+    news.number = it.choice.dueRequests(it.now + 3s, 7).at(0).request.number;
+    news.era = 2;
+    it.choice.handleAnswer(news, it.now + 3s);
+    cr_assert(it.choice.source(it.now + 3s, false) == 0U);
+}
--- a/tests/programs/test_neighbours.cpp
+++ b/tests/programs/test_neighbours.cpp
@@ -61,7 +61,7 @@
     }
     void ask(std::string_view address)
     {
-        const SeedRequest request{0, {.number = ++asked, .follows = true}, std::string(address)};
+        const SeedRequest request{0, {.number = ++asked, .follows = true, .era = era}, std::string(address)};
         neighbours.sendRequests({&request, 1});
     }
     bool isAnswered()
@@ -79,6 +79,7 @@
     uint64_t revision = 0; // of the store, as this node knows it
     int valuesSent = 0;
     uint64_t asked = 0;
+    uint64_t era = 0; // of its requests
     uint64_t answered = 0;
     int allowanceRequests = 0;
     std::vector<AllowanceGrant> grants;
@@ -140,6 +141,21 @@
               "it must have been lost: the follower still asks for it");
 }
 
+// CONFIG: a follower that has entered an era is not answered after what was sent to it in the one before.
+Test(neighbours, what_is_in_transit_counts_only_within_its_era)
+{
+    Node source("source", "a", 1);
+    Node follower("follower", "b");
+    source.clock.pause();
+    source.revision = 7;
+    follower.ask(source.endpoint());
+    cr_assert(follower.isAnswered() && source.valuesSent == 1);
+    source.revision = 5;
+    follower.era = 1;
+    follower.ask(source.endpoint());
+    cr_assert(follower.isAnswered() && source.valuesSent == 2);
+}
+
 Test(neighbours, a_request_for_allowances_is_answered_to_its_sender)
 {
     Node grantor("grantor", "a");
