Follow: a gap of a seed's history is not answered for

Cause: the seed reads everything again and logs the differences from what it knew before. A key that was created and removed in between is in neither, but the log answered any later revision as if it held all changes after it, also one within the gap, at which a follower that had polled the store had seen the key created. A step that ended within the differences had the same fault: removals are logged at the revision of the list.

Change: ChangeLog keeps the gap. Its differences are one step, and a revision within it gets no answer, so that the follower asks the store. Gaps travel with the differences, so relays keep to them. Nodes with the state of the seed or an earlier one need no call, as before.

--- a/src/follow/change_log.h
+++ b/src/follow/change_log.h
@@ -1,7 +1,8 @@
 /// A bounded log of recent store changes, from which a node serves its followers.
 ///
-/// Only the last change of each key is kept, so a burst of changes to one key costs as much as one change.
-/// All revisions are of one era of the store; restart() begins another.
+/// Only the last change of each key is kept, so a burst of changes to one key costs as much as one change. Where the
+/// changes of a span are unknown, the log has the differences between its ends, as one step, and no answer to a
+/// revision within it. All revisions are of one era of the store; restart() begins another.
 ///
 /// Pure: the caller passes the time. Not safe to share between threads.
 #pragma once
@@ -29,31 +30,41 @@
     explicit ChangeLog(const ChangeLogOptions &options);
 
     void          restart(StorePosition at); // after a full read: clears the log
-    void          record(std::span<const StoreChange> changes, uint64_t revision,
-                         TimePoint now); // all up to `revision`, in any order
-    StorePosition position() const;      // of the last record() or restart()
+    void          record(std::span<const StoreChange> changes, uint64_t revision, TimePoint now,
+                         std::span<const HistoryGap> gaps = {}); // all up to `revision`, in any order
+    StorePosition position() const;                              // of the last record() or restart()
 
     /// The first changes after a revision, complete up to the revision of the last.
     struct Step {
         std::vector<StoreChange> changes;
+        std::vector<HistoryGap>  gaps;         // whose differences are among the changes, ascending
+        uint64_t                 revision = 0; // up to which they are complete
         bool                     more = false; // the log has further changes
     };
 
-    /// Up to `maxBytes` of keys and values, but at least the changes of one revision; nullopt when the log no longer
-    /// holds all changes after `after`.
+    /// Up to `maxBytes` of keys and values, but at least the changes of one revision or gap; nullopt when the log does
+    /// not hold all changes after `after`.
     std::optional<Step> since(uint64_t after, size_t maxBytes) const;
 
 private:
     struct LoggedChange {
         StoreChange change;
-        TimePoint   at;
+        uint64_t    stepRevision = 0; // of the change, or the end of the gap that it is in: a step ends there
+        TimePoint   at{};
+    };
+    struct LoggedGap {
+        HistoryGap gap;
+        TimePoint  at{};
     };
 
-    void eraseKey(std::string_view key);
-    void dropOldest();
+    uint64_t stepRevision(uint64_t revision) const;
+    void     dropOldGaps(TimePoint now);
+    void     eraseKey(std::string_view key);
+    void     dropOldest();
 
     ChangeLogOptions         m_options;
-    std::deque<LoggedChange> m_changes;  // by ascending revision
+    std::deque<LoggedChange> m_changes;  // by ascending revision of the step
+    std::deque<LoggedGap>    m_gaps;     // ascending, without overlap
     uint64_t                 m_base = 0; // all changes after it are in the log
     StorePosition            m_position;
     size_t                   m_bytes = 0;
--- a/src/follow/follower_news.cpp
+++ b/src/follow/follower_news.cpp
@@ -132,7 +132,7 @@
         markStoreReachable(*verified);
         changed = registry.expire(clock.now()) || changed;
     }
-    record(news.changes, revision, verifiedAt);
+    record(news.changes, revision, verifiedAt, news.gaps);
     if (advanced) {
         hooks.newsAvailable();
     }
@@ -180,7 +180,8 @@
 }
 
 /// Logs the changes for the nodes that follow this one. Takes the value of the configuration.
-void Follower::State::record(std::span<StoreChange> changes, uint64_t upTo, TimePoint verified)
+void Follower::State::record(std::span<StoreChange> changes, uint64_t upTo, TimePoint verified,
+                             std::span<const HistoryGap> gaps)
 {
     knownRevision = upTo;
     LockGuard lock(mutex);
@@ -192,12 +193,12 @@
     verifiedAt = std::max(verifiedAt, verified);
     status.verifiedAt = verifiedAt;
     if (!options.sources.seeds.empty()) {
-        log.record(changes, upTo, clock.now());
+        log.record(changes, upTo, clock.now(), gaps);
     }
 }
 
-/// Logs the differences between a full read and the known state as changes, so that followers need no full read of
-/// their own.
+/// Logs the differences between a full read and the known state, so that followers need no full read of their own. They
+/// complete only the states up to the known one: what was created and removed since is in neither.
 void Follower::State::recordList(const StoreListing &listed, TimePoint now)
 {
     std::set<std::string_view> listedKeys;
@@ -234,7 +235,8 @@
         if (knownRevision == 0) {
             log.restart({era, listed.revision});
         } else {
-            log.record(differences, listed.revision, now);
+            const HistoryGap gap{knownRevision, listed.revision};
+            log.record(differences, listed.revision, now, {&gap, 1});
         }
         status.verifiedAt = verifiedAt;
     }
@@ -317,8 +319,9 @@
     out.whole = step.has_value();
     if (step) {
         out.more = step->more;
-        out.revision = step->more ? step->changes.back().revision : out.revision;
+        out.revision = step->revision;
         out.changes = std::move(step->changes);
+        out.gaps = std::move(step->gaps);
         state.hasFollowers = true;
         state.fillConfiguration(out, request);
     }
--- a/src/follow/follower_state.h
+++ b/src/follow/follower_state.h
@@ -60,7 +60,8 @@
     bool      mustCallStore(TimePoint now);
     bool      pollsContinuously() const;
     void      chooseSource(TimePoint now);
-    void      record(std::span<StoreChange> changes, uint64_t upTo, TimePoint verifiedAt);
+    void      record(std::span<StoreChange> changes, uint64_t upTo, TimePoint verifiedAt,
+                     std::span<const HistoryGap> gaps = {});
     void      keepConfiguration(std::string value, uint64_t entryRevision);
     bool      unpack(StoreNews &news);
     void      fillConfiguration(StoreNews &news, const FollowRequest &request);
--- a/src/follow/news.h
+++ b/src/follow/news.h
@@ -54,6 +54,7 @@
     std::vector<PackedChange> packed = {};  // further changes, in place of those with large values
     std::string               relay = {};   // IP:PORT of a node nearby to follow instead of the sender; empty: none
     uint64_t                  era = 0;      // of all revisions in it; 0: the store names none
+    std::vector<HistoryGap>   gaps = {};    // ascending; of changes in them only the differences are known
 
     StorePosition position() const
     {
--- a/src/store/position.h
+++ b/src/store/position.h
@@ -22,4 +22,17 @@
     }
 };
 
+/// Revisions of one era between which the single changes were not seen, only what differs between both ends. A state in
+/// between may have keys that were created and removed again, of which the differences say nothing.
+struct HistoryGap {
+    uint64_t after = 0; // the last revision before it
+    uint64_t upTo = 0;  // the first one at which all changes are known again; above `after`
+
+    bool operator==(const HistoryGap &) const = default;
+    bool contains(uint64_t revision) const
+    {
+        return revision > after && revision < upTo;
+    }
+};
+
 } // namespace damask
--- a/src/wire/message.cpp
+++ b/src/wire/message.cpp
@@ -103,6 +103,11 @@
     news.set_more(from.more);
     news.set_relay(from.relay);
     news.set_era(from.era);
+    for (const HistoryGap &it : from.gaps) {
+        pb::HistoryGap &gap = *news.add_gaps();
+        gap.set_after(it.after);
+        gap.set_up_to(it.upTo);
+    }
     for (const StoreChange &it : from.changes) {
         pb::StoreChange &change = *news.add_changes();
         change.set_key(it.key);
@@ -236,8 +241,8 @@
 
 Result<MessageBody> readStoreNews(const pb::StoreNews &from)
 {
-    if (from.changes_size() > MaxItems || from.packed_size() > MaxItems || from.age_us() > MaxAgeMicroseconds
-        || from.hops() > MaxHops) {
+    if (from.changes_size() > MaxItems || from.packed_size() > MaxItems || from.gaps_size() > MaxItems
+        || from.age_us() > MaxAgeMicroseconds || from.hops() > MaxHops) {
         return fail(Code::BadMessage, "store_news: a field is out of range");
     }
     if (const auto checked = checkText(from.relay(), MaxNameBytes, "store_news.relay"); !checked) {
@@ -270,6 +275,14 @@
         }
         out.packed.push_back(std::move(*change));
     }
+    uint64_t previous = 0;
+    for (const pb::HistoryGap &it : from.gaps()) {
+        if (it.after() < previous || it.up_to() <= it.after() || it.up_to() > from.revision()) {
+            return fail(Code::BadMessage, "store_news.gaps: a revision is out of range");
+        }
+        previous = it.up_to();
+        out.gaps.push_back({it.after(), it.up_to()});
+    }
     return out;
 }
 
--- a/tests/follow/test_change_log.cpp
+++ b/tests/follow/test_change_log.cpp
@@ -1,6 +1,10 @@
+#include <rapidcheck.h>
+
 #include "follow/change_log.h"
 
 #include <criterion/criterion.h>
+#include <map>
+#include <string>
 
 using namespace damask;
 using namespace std::chrono_literals;
@@ -111,3 +115,111 @@
     }
     cr_assert(received == std::vector<uint64_t>({11, 12, 13, 14}), "received %zu changes", received.size());
 }
+
+namespace {
+
+using Keys = std::map<std::string, uint64_t>; // key: revision of its value
+
+void applyChanges(std::span<const StoreChange> changes, Keys &to)
+{
+    for (const StoreChange &it : changes) {
+        if (it.value) {
+            to[it.key] = it.revision;
+        } else {
+            to.erase(it.key);
+        }
+    }
+}
+
+/// A store with all of its states, and the logs of a node that follows it and of one that follows that node.
+struct ChainOfLogs {
+    std::vector<Keys> states{{}};         // by revision
+    std::vector<StoreChange> changes{{}}; // by revision
+    ChangeLog seed{{.retention = 1h}};
+    ChangeLog relay{{.retention = 1h}};
+
+    void write()
+    {
+        const std::string key = *rc::gen::element<std::string>("a", "b", "c", "d");
+        const bool removes = *rc::gen::arbitrary<bool>();
+        const uint64_t revision = states.size();
+        changes.push_back({key, removes ? std::nullopt : std::optional<std::string>("value"), revision});
+        states.push_back(states.back());
+        applyChanges({&changes.back(), 1}, states.back());
+    }
+    void poll()
+    {
+        const size_t from = seed.position().revision + 1;
+        seed.record(std::span(changes).subspan(from), states.size() - 1, Start);
+    }
+    void list()
+    {
+        const HistoryGap gap{seed.position().revision, states.size() - 1};
+        std::vector<StoreChange> differences;
+        for (const auto &[key, revision] : states[gap.upTo]) {
+            if (revision > gap.after) {
+                differences.push_back({key, "value", revision});
+            }
+        }
+        for (const auto &[key, revision] : states[gap.after]) {
+            if (!states[gap.upTo].contains(key)) {
+                differences.push_back({key, std::nullopt, gap.upTo});
+            }
+        }
+        if (gap.upTo > gap.after) {
+            seed.record(differences, gap.upTo, Start, {&gap, 1});
+        }
+    }
+    void passOn()
+    {
+        if (const auto step = seed.since(relay.position().revision, *rc::gen::inRange(1, 40))) {
+            relay.record(step->changes, step->revision, Start, step->gaps);
+        }
+    }
+    /// Each answer leads from the true state at a revision to the true state at another. Keys that change again after
+    /// that, as far as the seed knows, are left out: logs have only the last change of a key.
+    void check(const ChangeLog &log) const
+    {
+        for (uint64_t after = 0; after <= log.position().revision; ++after) {
+            const auto step = log.since(after, *rc::gen::inRange(1, 40));
+            Keys reached = states[after];
+            if (!step) {
+                continue;
+            }
+            applyChanges(step->changes, reached);
+            Keys expected = states[step->revision];
+            for (uint64_t later = step->revision + 1; later <= seed.position().revision; ++later) {
+                reached.erase(changes[later].key);
+                expected.erase(changes[later].key);
+            }
+            RC_ASSERT(reached == expected);
+        }
+    }
+};
+
+} // namespace
+
+// DRAIN: a key that was created and removed while the history was unknown stayed at nodes that had seen it created.
+Test(change_log, an_answer_completes_every_state_that_it_is_given_for)
+{
+    cr_assert(rc::check("answers after gaps", [] {
+        ChainOfLogs it;
+        for (int n = *rc::gen::inRange(1, 40); n > 0; --n) {
+            switch (*rc::gen::inRange(0, 6)) {
+            case 0:
+                it.poll();
+                break;
+            case 1:
+                it.list();
+                break;
+            case 2:
+                it.passOn();
+                break;
+            default:
+                it.write();
+            }
+        }
+        it.check(it.seed);
+        it.check(it.relay);
+    }));
+}
--- a/tests/platform/test_news.cpp
+++ b/tests/platform/test_news.cpp
@@ -262,3 +262,47 @@
     cr_assert(eventually([&] { return it.late.targets() == 4; }));
     cr_assert(it.late.follower->news(request, DefaultMaxBytes).age < 10s);
 }
+
+// DRAIN: workers that joined and left, and a data centre that was evacuated and taken back, while the seed was cut off
+// and the store dropped its history, stayed so at the nodes that had polled the store meanwhile.
+Test(news, what_came_and_went_within_a_gap_of_the_seeds_history_is_read_from_the_store)
+{
+    SeedAndFollower it;
+    it.disconnected = true;
+    it.seed.fake.setBehaviour(StoreBehaviour::ResetsConnections);
+    it.put("servers/i-2", worker("ready", 1));
+    it.put("op/evacuate/z", "");
+    cr_assert(eventually([&] { return it.other.targets() == 2 && !it.other.evacuated().empty(); }), "by its own poll");
+    it.other.fake.setBehaviour(StoreBehaviour::ResetsConnections);
+    it.remove("servers/i-2");
+    it.remove("op/evacuate/z");
+    it.put("servers/i-3", worker("ready", 1));
+    it.seed.fake.dropHistory();
+    it.seed.fake.setBehaviour(StoreBehaviour::Healthy);
+    cr_assert(eventually([&] { return it.seed.follower->status().revision == it.seed.fake.revision(); }));
+    it.disconnected = false;
+    it.other.fake.setBehaviour(StoreBehaviour::Healthy);
+    cr_assert(eventually([&] { return it.other.follower->status().source == "seed"; }));
+    cr_assert(eventually([&] {
+        LockGuard lock(it.other.mutex);
+        return it.other.everUsed.contains("i-3") && it.other.active->pools.at(0).targets.size() == 2;
+    }));
+    cr_assert(eventually([&] { return it.other.evacuated().empty(); }));
+}
+
+// A node that has no part of the gap still needs no call to the store.
+Test(news, a_gap_of_the_seeds_history_costs_its_followers_no_call)
+{
+    SeedAndFollower it;
+    it.seed.fake.setBehaviour(StoreBehaviour::ResetsConnections);
+    it.seed.fake.put("servers/i-2", worker("ready", 1));
+    it.seed.fake.remove("servers/i-1");
+    it.seed.fake.dropHistory();
+    const int calls = it.other.fake.calls();
+    it.seed.fake.setBehaviour(StoreBehaviour::Healthy);
+    cr_assert(eventually([&] {
+        LockGuard lock(it.other.mutex);
+        return it.other.everUsed.contains("i-2") && it.other.active->pools.at(0).targets.size() == 1;
+    }));
+    cr_assert(it.other.fake.calls() == calls);
+}
--- a/tests/wire/test_codec.cpp
+++ b/tests/wire/test_codec.cpp
@@ -222,13 +222,19 @@
     cr_assert(!decodeMessage(encodeMessage({"node-1", 3, CreditGrant{1, 1, time, {late}}})));
 }
 
-// CONFIG: without the era of its revisions, news of before a store's return looks like news of after it.
+// CONFIG, DRAIN: without the era of its revisions, news of before a store's return looks like news of after it; without
+// its gaps, a relay would answer for states that it can't complete.
 Test(codec, positions_of_news_are_restored)
 {
     const FollowRequest request{.number = 4, .revision = 7, .follows = true, .era = 3};
     const auto asked = decodeMessage(encodeMessage({"a", 1, request}));
     cr_assert(asked && (std::get<FollowRequest>(asked->body).position() == StorePosition{3, 7}));
-    const StoreNews news{.from = 7, .revision = 9, .era = 3};
+    StoreNews news{.from = 7, .revision = 9, .era = 3, .gaps = {{7, 9}}};
     const auto answered = decodeMessage(encodeMessage({"a", 1, news}));
     cr_assert(answered && (std::get<StoreNews>(answered->body).position() == StorePosition{3, 9}));
+    cr_assert(std::get<StoreNews>(answered->body).gaps == news.gaps);
+    for (const HistoryGap &bad : {HistoryGap{8, 8}, HistoryGap{8, 7}, HistoryGap{8, 10}}) {
+        news.gaps = {bad};
+        cr_assert(!decodeMessage(encodeMessage({"a", 1, news})));
+    }
 }
