Tests: the fake store encodes a value once, not in each reply

Seen: follow::catches_up_after_more_changes_than_fit_into_one_reply took 10.3 and 12.3 s under the address sanitizer, bound 6 s, and no call of the store was answered before the end.

Cause: the fake encoded 8.4 MB as base64 within each reply to a poll: 0.23 to 0.3 s in this build, against a call timeout of 0.3 s in the fixture. A reply that comes too late is given up, the fake computes the next one while the client already waits, and so on.

Ruled out: the load of the machine alone (passed in 4 of 4 runs beside 12 busy processes); the follower, which called again after each timeout.

Change: values are encoded when they are written.

--- a/tests/fakes/fake_platform_store.h
+++ b/tests/fakes/fake_platform_store.h
@@ -68,11 +68,11 @@
     }
     void put(std::string_view key, std::string_view value)
     {
-        change(key, std::string(value));
+        change(key, toBase64(value));
     }
     void putEncoded(std::string_view key, std::string_view text) // sends the text as the value, instead of base64
     {
-        change(key, std::string(text), true);
+        change(key, std::string(text));
     }
     void remove(std::string_view key)
     {
@@ -163,9 +163,8 @@
 private:
     struct Event {
         std::string                key;
-        std::optional<std::string> value;
+        std::optional<std::string> text; // the value as it is sent: encoded once, as a large one takes long
         uint64_t                   revision = 0;
-        bool                       encoded = false; // the value is sent as it is
     };
     struct Peer {
         FileDescriptor socket;
@@ -175,17 +174,17 @@
         TimePoint      until{};
     };
 
-    void change(std::string_view key, std::optional<std::string> value, bool encoded = false)
+    void change(std::string_view key, std::optional<std::string> text)
     {
         {
             LockGuard lock(m_mutex);
             ++m_revision;
-            if (value) {
-                m_items[std::string(key)] = {std::string(key), value, m_revision, encoded};
+            if (text) {
+                m_items[std::string(key)] = {std::string(key), text, m_revision};
             } else {
                 m_items.erase(std::string(key));
             }
-            m_events.push_back({std::string(key), std::move(value), m_revision, encoded});
+            m_events.push_back({std::string(key), std::move(text), m_revision});
         }
         wake();
     }
@@ -320,10 +319,10 @@
     static std::string item(const Event &it)
     {
         std::string out = "{\"key\":\"" + it.key + "\",\"revision\":" + std::to_string(it.revision);
-        if (!it.value) {
+        if (!it.text) {
             return out + ",\"tombstone\":true}";
         }
-        out += ",\"value\":\"" + (it.encoded ? *it.value : toBase64(*it.value)) + "\"}";
+        out += ",\"value\":\"" + *it.text + "\"}";
         return out;
     }
     bool reply(Peer &peer, std::string_view status, std::string_view body) const
