Follow: a gap without revisions is none; a first page does not join a stale list

Cause: a list at the revision that a node already had, or one above it, was logged as a gap. Passed on, the empty one is out of range for the wire (up_to above after), so followers would have refused the whole message.

Also found by reading: a node that had started from a stale list, and read the latest one because the store had discarded its history or entered another era, served by the first page together with what the stale list had left. It waits for the whole list now.

--- a/src/follow/change_log.cpp
+++ b/src/follow/change_log.cpp
@@ -37,7 +37,8 @@
                        std::span<const HistoryGap> gaps)
 {
     for (const HistoryGap &it : gaps) {
-        if (it.after >= m_position.revision) {
+        const bool hasRevisions = it.upTo > it.after + 1;
+        if (hasRevisions && it.after >= m_position.revision) {
             m_gaps.push_back({it, now});
         }
     }
--- a/src/follow/follower_list.cpp
+++ b/src/follow/follower_list.cpp
@@ -42,15 +42,13 @@
 
 /// Serves by part of the targets while the other pages are read: when all nodes start at once, the store's link is
 /// busy with their lists for a second or more. Entries are listed by key: where evacuations follow targets, the page
-/// may have targets without the evacuations of their data centres.
+/// may have targets without the evacuations of their data centres. After a stale list the page would be mixed with it.
 void Follower::State::startFromFirstPage(const StoreListing &page, TimePoint requestedAt)
 {
-    if (options.evacuationPrefix > options.targetPrefix || page.era.value_or(era) < era) {
+    if (options.evacuationPrefix > options.targetPrefix || knownRevision != 0) {
         return;
     }
-    if (knownRevision == 0) {
-        enterEra(page.era.value_or(era), page.revision);
-    }
+    enterEra(page.era.value_or(era), page.revision);
     markStoreReachable(requestedAt);
     std::vector<RegisteredTarget> targets;
     readEntries(page.entries, targets);
--- a/tests/follow/test_change_log.cpp
+++ b/tests/follow/test_change_log.cpp
@@ -2,6 +2,7 @@
 
 #include "follow/change_log.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <map>
 #include <string>
@@ -166,9 +167,7 @@
                 differences.push_back({key, std::nullopt, gap.upTo});
             }
         }
-        if (gap.upTo > gap.after) {
-            seed.record(differences, gap.upTo, Start, {&gap, 1});
-        }
+        seed.record(differences, gap.upTo, Start, {&gap, 1});
     }
     void passOn()
     {
@@ -186,6 +185,8 @@
             if (!step) {
                 continue;
             }
+            RC_ASSERT(std::all_of(step->gaps.begin(), step->gaps.end(),
+                                  [](const HistoryGap &gap) { return gap.upTo > gap.after; })); // as the wire requires
             applyChanges(step->changes, reached);
             Keys expected = states[step->revision];
             for (uint64_t later = step->revision + 1; later <= seed.position().revision; ++later) {
