--- a/tests/platform/test_eras.cpp
+++ b/tests/platform/test_eras.cpp
@@ -121,3 +121,20 @@
     const auto listed = it.pair.seed.client->list("", ListFreshness::Latest, enterNext);
     cr_assert(!listed && listed.error().code == Code::StoreUnavailable);
 }
+
+// CONFIG: a seed that had read the copy answered its followers after their revisions of before the drill, so that none
+// of them got the version that the operators wrote next.
+Test(eras, followers_of_a_seed_that_read_the_copy_get_what_is_written_next)
+{
+    Drill it;
+    it.pair.seed.fake.returnInEra(2, [] {});
+    it.pair.other.fake.returnInEra(2, [] {});
+    cr_assert(eventually([&] { return it.follows(it.pair.seed.fake); }), "it has read the copy");
+    for (FakePlatformStore *store : {&it.pair.seed.fake, &it.pair.other.fake}) {
+        store->put("op/config", configuration("0000000c", "s2"));
+        store->remove("servers/i-2");
+        Drill::write(*store, 2 * LostWrites, LostWrites + 2);
+    }
+    cr_assert(Drill::isCurrent(it.pair.other));
+    cr_assert(eventually([&] { return it.pair.other.follower->status().source == "seed"; }));
+}
--- a/tests/soak/node_soak.py
+++ b/tests/soak/node_soak.py
@@ -6,6 +6,7 @@
 import signal
 import time
 
+import drill
 import proxy
 import store
 import worker
@@ -22,7 +23,8 @@
 # The only kind of fault where a guarantee is broken, by switch; others draw settings_change, which disturbs nothing.
 FAULT_OF = {"drain": "worker_leaves", "configuration": "configurations", "back": "configurations",
             "removal": "key_changes", "addition": "key_changes", "evacuation": "evacuation", "lost": "node_restarts",
-            "grace": "node_restarts", "exit": "node_killed", "cold": "worker_leaves"}
+            "grace": "node_restarts", "exit": "node_killed", "cold": "worker_leaves",
+            "era": "store_returns"}
 HEDGE_LIMIT = 0.02  # a node has about 17 calls a second of the service that may be hedged
 GRACE_S = 6
 RECOVERED_SHARE = 0.9  # of the calls in the fault-free phase at the end of a round
@@ -67,14 +69,16 @@
 
 
 class NodeSoak:
-    def __init__(self, seed, seconds, nodes=5, workers=4, callers=24, leave_share=0.02, broken=""):
-        self.seed, self.seconds, self.broken = seed, seconds, broken
+    def __init__(self, seed, seconds, nodes=5, workers=4, callers=24, leave_share=0.02, broken="",
+                 also=""):
+        self.seed, self.seconds, self.broken, self.also = seed, seconds, broken, also
         self.rng = random.Random(seed)
         self.counts = nodes, workers, callers
         self.leave_share, self.rate_each = leave_share, 8.0
         self.kinds = [(service, prefix, *SERVICES[service]) for prefix, service in ROUTES.items()]
         self.pipelined_kinds = [it for it in self.kinds if it[2] == "GET"]
         self.strict = self.rng.random() < 0.5
+        self.probes = 0
         self.finished, self.began = False, time.monotonic()
         self.evacuated = ""  # the data centre that is being evacuated
         self.timeline, self.tasks = [], []
@@ -170,26 +174,36 @@
 
     async def probe_versions(self):
         """Finds the active version of a node: the newest of the last versions whose own route it knows."""
-        number = 0
         while not self.finished:
             await asyncio.sleep(0.25)
             node, now = self.rng.choice(self.nodes), time.monotonic()
             bound = max((version for at, version in self.acknowledged if at < now - APPLY_S), default=0)
             probed, found = [version for _, version in self.acknowledged[-8:]], set()
             for version in probed:
-                number += 1
-                request, incarnation = f"probe-{number}", node.incarnation
-                target = f"/version-{version}/x"
-                self.accounts.sent[request] = (self.probe_key, "north")
-                self.record.sent[request] = (time.monotonic(), node, "read", True, target, b"")
-                status = await self.get(node.front, target, {"X-Request-Id": request, "X-Deadline-Ms": "1000",
-                                                            "X-Api-Key": self.probe_key}, 2)
+                incarnation = node.incarnation
+                status = await self.probe_version(node, version)
                 found.add(status)
                 if status == 200 and incarnation == node.incarnation and not node.paused:
                     self.record.check_version(node, version, bound)
             if found == {404} and incarnation == node.incarnation and self.version == probed[-1]:
                 self.record.check_version(node, probed[0] - 1, bound)  # or an even older one
 
+    async def probe_version(self, node, version):
+        """Returns the status of a request on the version's own route."""
+        self.probes += 1
+        request, target = f"probe-{self.probes}", f"/version-{version}/x"
+        self.accounts.sent[request] = (self.probe_key, "north")
+        self.record.sent[request] = (time.monotonic(), node, "read", True, target, b"")
+        return await self.get(node.front, target, {"X-Request-Id": request, "X-Deadline-Ms": "1000",
+                                                   "X-Api-Key": self.probe_key}, 2)
+
+    async def check_newest_version(self):
+        """In the calm at the end each node knows the newest version."""
+        version = self.acknowledged[-1][1]
+        for it in self.nodes:
+            if await self.probe_version(it, version) == 404:
+                self.record.fail("current", f"{it.name} does not know version {version} in the calm at the end")
+
     # The workers
 
     async def add_worker(self, service, zone, cold=True, old=None):
@@ -316,6 +330,9 @@
         await asyncio.sleep(lasts)
         self.store.set_behaviour(store.HEALTHY)
 
+    async def store_returns(self, lasts):
+        await drill.play(self, lasts)
+
     async def store_forgets(self, _):
         self.log_event("store drops its history")
         self.store.drop_history()
@@ -424,6 +441,7 @@
     async def start(self):
         nodes, workers, _ = self.counts
         self.store = await store.Store(self.bench.port()).start()
+        self.store.names_new_era = self.broken != "era"
         await self.configure()
         for service in SERVICES:
             for n in range(workers):
@@ -447,6 +465,7 @@
         # Few kinds in each run: with all of them at once, time bounds would hardly ever apply.
         kinds = self.rng.sample(kinds, self.rng.randint(2, 5))
         kinds += [it for it in (self.key_changes, self.evacuation) if self.rng.random() < 0.5]
+        kinds += [self.store_returns] if self.also == "drill" or self.rng.random() < 0.3 else []
         if self.broken:  # only the fault that the broken guarantee needs, or a harmless one
             kinds = [getattr(self, FAULT_OF.get(self.broken, "settings_change"))]
         self.log_event("kinds: " + ", ".join(it.__name__ for it in kinds))
@@ -472,6 +491,7 @@
         gained.pop("refused by account", None)
         if gained.get(200, 0) < RECOVERED_SHARE * sum(gained.values()):
             self.record.fail("recover", f"in the calm at the end came {gained}")
+        await self.check_newest_version()
 
     async def run(self):
         asyncio.get_running_loop().set_exception_handler(self.report_problem)
--- a/tests/soak/prove.py
+++ b/tests/soak/prove.py
@@ -34,6 +34,7 @@
     "removal": ("revoked", "removed keys stay in the configuration"),
     "addition": ("denied", "new keys are missing from the configuration"),
     "quota": ("quota", "the configuration has no rate of the small account"),
+    "era": ("current", "the store returns from a copy and names no new era"),
     "home": ("home", "the configuration has no home regions"),
     "evacuation": ("evacuated", "the key of the evacuation is not written"),
 }
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -21,6 +21,10 @@
         self.behaviour, self.disturbed_at = HEALTHY, 0.0
         self.calls, self.watching, self.cut_at = 0, set(), 0.0
         self.changed = asyncio.Condition()
+        self.era, self.names_new_era, self.away = 1, True, False
+        self.copy = None  # items, revision, events and oldest revision at the time of a copy
+        self.lost = []    # changes since the copy
+        self.written = set()  # keys that were changed since the store is back from the copy, by a first write
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
@@ -41,9 +45,34 @@
         for it in list(self.watching):
             reset(it)
 
-    async def put(self, key, value):
-        """Sets a value, or removes the key if it is None; the change is stored when this returns."""
+    def take_copy(self):
+        self.copy, self.lost = (dict(self.items), self.revision, list(self.events), self.oldest), []
+
+    def go_away(self):
+        self.away, self.disturbed_at = True, time.monotonic()
+        for it in list(self.watching):
+            reset(it)
+
+    async def come_back(self):
+        """Returns with the copy, in a new era. Returns the changes that are lost, as pairs of key and value."""
+        async with self.changed:
+            self.items, self.revision, self.events, self.oldest = self.copy
+            self.era += self.names_new_era
+            self.away, self.disturbed_at = False, time.monotonic()
+            self.written = set()
+            lost, self.lost = self.lost, []
+            self.changed.notify_all()
+            return lost
+
+    async def put(self, key, value, again=False):
+        """Sets a value, or removes the key if it is None; the change is stored when this returns. Waits while the store
+        is away. `again`: the change was lost."""
+        while self.away:
+            await asyncio.sleep(0.01)
         async with self.changed:
+            self.lost.append((key, value))
+            if not again:
+                self.written.add(key)
             self.revision += 1
             if value is None:
                 self.items.pop(key, None)
@@ -67,12 +96,13 @@
         """Waits for events after a revision; returns None if the history no longer contains it."""
         until = time.monotonic() + wait
         async with self.changed:
-            while self.behaviour == HEALTHY and self.revision <= after and (left := until - time.monotonic()) > 0:
+            era = self.era
+            while self.behaviour == HEALTHY and not self.away and self.revision <= after and (left := until - time.monotonic()) > 0:
                 try:
                     await asyncio.wait_for(self.changed.wait(), min(left, 0.1))
                 except asyncio.TimeoutError:
                     pass
-            if after < self.oldest:
+            if after < self.oldest or after > self.revision or era != self.era:
                 return None
             return {"events": [self.item(key, value, it) for it, key, value in self.events if it > after],
                     "asOf": self.revision}
@@ -91,7 +121,7 @@
         url = urlsplit(target)
         query = {key: it[0] for key, it in parse_qs(url.query, keep_blank_values=True).items()}
         body, status = None, "200 OK"
-        if self.behaviour == HEALTHY:
+        if self.behaviour == HEALTHY and not self.away:
             if url.path == "/-/kv-range":
                 body = self.range(query["prefix"], query.get("after", ""))
             else:
@@ -99,7 +129,7 @@
                 body = await self.watch(int(query["after"]), int(query["waitMs"]) / 1000)
                 self.watching.discard(writer)
                 status = "200 OK" if body else "410 Gone"
-        if self.behaviour == RESET:
+        if self.behaviour == RESET or self.away:
             reset(writer)
             return False
         if self.behaviour == SILENT:
@@ -107,6 +137,7 @@
             return False
         if self.behaviour in STATUS:
             body, status = None, STATUS[self.behaviour]
-        writer.write(message(f"HTTP/1.1 {status}", {"Content-Type": "application/json"}, json.dumps(body or {}).encode()))
+        writer.write(message(f"HTTP/1.1 {status}", {"Content-Type": "application/json", "Store-Era": self.era},
+                             json.dumps(body or {}).encode()))
         await writer.drain()
         return True
