--- a/src/follow/change_log.h
+++ b/src/follow/change_log.h
@@ -34,11 +34,11 @@
                          std::span<const HistoryGap> gaps = {}); // all up to `revision`, in any order
     StorePosition position() const;                              // of the last record() or restart()
 
-    /// The first changes after a revision, complete up to the revision of the last.
+    /// The first changes after a revision, complete up to `revision`.
     struct Step {
         std::vector<StoreChange> changes;
         std::vector<HistoryGap>  gaps;         // whose differences are among the changes, ascending
-        uint64_t                 revision = 0; // up to which they are complete
+        uint64_t                 revision = 0; // a follower that has applied them continues after it
         bool                     more = false; // the log has further changes
     };
 
@@ -64,7 +64,7 @@
 
     ChangeLogOptions         m_options;
     std::deque<LoggedChange> m_changes;  // by ascending revision of the step
-    std::deque<LoggedGap>    m_gaps;     // ascending, without overlap
+    std::deque<LoggedGap>    m_gaps;     // ascending, without overlap; none ends at or before m_base
     uint64_t                 m_base = 0; // all changes after it are in the log
     StorePosition            m_position;
     size_t                   m_bytes = 0;
--- a/src/follow/follower.h
+++ b/src/follow/follower.h
@@ -92,8 +92,8 @@
     void receive(StoreNews news);
 
     /// The first changes after the request's revision, up to `maxBytes` or 16 KB, whichever is more; `more` when others
-    /// follow. Left out (`whole` is false) when they are no longer logged or the node does not follow this one. Safe
-    /// from all threads.
+    /// follow. Left out (`whole` is false) when they are no longer logged, were never seen one by one, are of another
+    /// era of the store, or the node does not follow this one. Safe from all threads.
     StoreNews news(const FollowRequest &request, size_t maxBytes) const;
 
 private:
--- a/src/follow/follower_history.cpp
+++ b/src/follow/follower_history.cpp
@@ -43,7 +43,8 @@
     return true;
 }
 
-/// Called with each full read. The first one begins no history anew.
+/// The only way into an era: called with each full read. What the node knew before is replaced by the list, unless the
+/// list is its first.
 void Follower::State::enterEra(uint64_t listedEra, uint64_t storeRevision)
 {
     if (listedEra == era) {
@@ -70,8 +71,9 @@
     restartHistory();
 }
 
-/// Revisions known so far say nothing about the new ones, which may repeat them. Versions of the configuration still
-/// only increase. Nodes that follow this one notice the other era, or the lower revision, by themselves.
+/// Forgets all revisions known so far: they say nothing about the new ones, which may repeat them. Versions of the
+/// configuration still only increase. Nodes that follow this one notice the other era, or the lower revision, by
+/// themselves.
 void Follower::State::restartHistory()
 {
     registry.forgetRevisions();
